Add the design page, the workspace and the shared types

Cause: there was no code yet. Change: design and glossary pages, CMake packages with declared dependencies, formatter and linter settings, test runner with the list of known failing tests, shared types (time, identifiers, epochs, messages, configuration tables). Conclusion: the subsystems can be built in parallel on these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Commands of the project; each one installs what it needs. See README.md.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+export CCACHE_SLOPPINESS = pch_defines,time_macros
+export CCACHE_NOHASHDIR = 1
+export CCACHE_BASEDIR = $(CURDIR)
+
+.PHONY: setup build run check format-check lint test measure model replay sanitize format
+
+setup:
+	@scripts/install_packages.sh
+
+$(BUILD)/build.ninja: | setup
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo
+
+build: setup $(BUILD)/build.ninja
+	cmake --build $(BUILD) -j $(JOBS)
+	@ln -sf $(BUILD)/compile_commands.json compile_commands.json
+
+run: build
+	scripts/run_demo.sh $(BUILD)
+
+check: setup format-check build lint test replay model
+
+format:
+	scripts/sources.sh | xargs clang-format -i
+
+format-check: setup
+	scripts/sources.sh | xargs clang-format --dry-run --Werror
+
+lint: build
+	scripts/lint.sh $(BUILD) $(JOBS)
+
+test: build
+	scripts/run_tests.sh $(BUILD) $(JOBS)
+
+replay: build
+	$(BUILD)/tools/replay traces
+
+model: setup
+	scripts/run_model.sh $(BUILD)
+
+measure: build
+	scripts/run_measure.sh $(BUILD)
+
+sanitize: setup
+	scripts/run_sanitizers.sh $(JOBS)
--- /dev/null
+++ b/packages/core/include/dogwoodport/core/message.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/// @file
+/// The variant of all messages between instances, and the list of messages to send.
+
+#include <utility>
+#include <vector>
+
+#include "dogwoodport/core/limit_messages.h"
+#include "dogwoodport/core/membership_messages.h"
+#include "dogwoodport/core/order_messages.h"
+#include "dogwoodport/core/ownership_messages.h"
+#include "dogwoodport/core/routing_messages.h"
+#include "dogwoodport/core/state_messages.h"
+
+namespace dogwoodport {
+
+/// Any message between two instances.
+using Message =
+    detail::ConcatToVariant<detail::TypeList<std::monostate>, MembershipMessages, StateMessages,
+                            OwnershipMessages, LimitMessages, OrderMessages, RoutingMessages>::Type;
+
+/// A message and its receiver.
+struct Envelope {
+  InstanceId to;
+  Message message;
+};
+
+/// Messages that a system asks its caller to send, in order.
+class Outbox {
+ public:
+  /// Appends `message` for `to`. Complexity: amortized constant.
+  void Send(InstanceId to, Message message) {
+    envelopes_.push_back(Envelope{to, std::move(message)});
+  }
+
+  /// Removes and returns all messages. Complexity: constant.
+  std::vector<Envelope> Take() { return std::exchange(envelopes_, {}); }
+
+  bool empty() const noexcept { return envelopes_.empty(); }
+
+ private:
+  std::vector<Envelope> envelopes_;
+};
+
+}  // namespace dogwoodport
--- /dev/null
+++ b/tools/replay/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
