--- /dev/null
+++ b/packages/core/src/control_state.cc
@@ -0,0 +1,607 @@
+#include "dogwoodport/core/control_state.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "dogwoodport/core/config_reader.h"
+#include "dogwoodport/core/detail/json_text.h"
+#include "dogwoodport/core/detail/state_fields.h"
+
+namespace dogwoodport {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint32_t kSnapshotFormat = 1;
+constexpr std::size_t kMaxAuditText = 256;
+constexpr std::size_t kMaxAccountSecrets = 2;
+
+std::string Shorten(std::string text) {
+  if (text.size() <= kMaxAuditText) return text;
+  // A cut inside a multi-byte character would not be UTF-8 any more.
+  std::size_t n = kMaxAuditText;
+  while (n > 0 && (static_cast<unsigned char>(text[n]) & 0xC0) == 0x80) --n;
+  text.resize(n);
+  return text + "...";
+}
+
+std::string VersionText(std::uint64_t version) { return "version " + std::to_string(version); }
+
+ApplyResult Stale(const char* what, std::uint64_t expected, std::uint64_t current) {
+  return {ApplyOutcome::kStale, std::string("expected ") + what + " " + std::to_string(expected) +
+                                    ", current is " + std::to_string(current)};
+}
+
+ApplyResult Refused(std::string detail) { return {ApplyOutcome::kRefused, std::move(detail)}; }
+
+template <typename Map, typename Key>
+auto* FindIn(Map& map, const Key& key) {
+  const auto it = map.find(key);
+  return it == map.end() ? nullptr : &it->second;
+}
+
+template <typename List>
+bool HasId(const List& list, auto id) {
+  return std::any_of(list.begin(), list.end(), [&](const auto& entry) { return entry.id == id; });
+}
+
+const ServiceConfig* FindService(const Config& config, ServiceId id) {
+  for (const ServiceConfig& service : config.services) {
+    if (service.id == id) return &service;
+  }
+  return nullptr;
+}
+
+/// Shards are numbered by the hash modulo their count, so the count of a service stays as it is.
+std::string ShardCountFault(const Config& before, const Config& after) {
+  for (const ServiceConfig& service : after.services) {
+    const ServiceConfig* old = FindService(before, service.id);
+    if (old == nullptr ||
+        (old->keyed == service.keyed && old->shard_count == service.shard_count)) {
+      continue;
+    }
+    return "keyed and shards of service '" + service.name + "' cannot change";
+  }
+  return {};
+}
+
+/// Operations that copy parts of the document could double it with each step.
+std::string PatchFault(const json& operations) {
+  if (!operations.is_array()) return "the patch is not a list of operations";
+  static const std::set<std::string> kAllowed = {"add", "remove", "replace", "test"};
+  for (const json& operation : operations) {
+    const auto it = operation.is_object() ? operation.find("op") : operation.end();
+    const bool allowed = operation.is_object() && it != operation.end() && it->is_string() &&
+                         kAllowed.contains(it->get<std::string>());
+    if (!allowed) return "a patch operation is not add, remove, replace or test";
+  }
+  return {};
+}
+
+}  // namespace
+
+/// Applies the bodies of records to a state; each overload fills the audit entry's what, from and
+/// to.
+class StateFolder {
+ public:
+  StateFolder(ControlState& state, std::uint64_t offset, const Record& record, AuditEntry& audit)
+      : state_(state), offset_(offset), record_(record), audit_(audit) {}
+
+  ApplyResult operator()(const ConfigChange& change) {
+    return Publish(change.expected_version, [&] { return change.document; });
+  }
+
+  ApplyResult operator()(const ConfigPatch& change) {
+    if (std::string fault = PatchFault(change.operations); !fault.empty()) return Refused(fault);
+    return Publish(change.expected_version, [&] {
+      const std::string& text = state_.document_;
+      return json::parse(text.empty() ? "{}" : text).patch(change.operations);
+    });
+  }
+
+  ApplyResult operator()(const DelegationChange& change) {
+    const Delegation* old = state_.delegation(change.data_centre);
+    const std::uint64_t current = old == nullptr ? 0 : old->offset;
+    audit_.what += " " + detail::ToHex(change.data_centre.value);
+    audit_.from = "epoch " + std::to_string(current);
+    audit_.to = "epoch " + std::to_string(offset_) + ", coordinator " +
+                detail::ToHex(change.coordinator.value) + ", " +
+                std::to_string(change.members.size()) + " members";
+    if (change.expected_epoch != current) return Stale("epoch", change.expected_epoch, current);
+    if (std::string fault = GroupFault(change); !fault.empty()) return Refused(fault);
+    state_.delegations_[change.data_centre] =
+        Delegation{change.data_centre, offset_, change.members, change.coordinator};
+    return {};
+  }
+
+  ApplyResult operator()(const AssignmentBatch& batch) {
+    const Delegation* current = state_.delegation(batch.data_centre);
+    const std::uint64_t epoch = current == nullptr ? 0 : current->offset;
+    audit_.what += " " + detail::ToHex(batch.data_centre.value);
+    if (current == nullptr || batch.delegation != epoch) {
+      return Stale("delegation", batch.delegation, epoch);
+    }
+    std::size_t applied = 0;
+    for (const Assignment& move : batch.moves) applied += Move(batch, move) ? 1 : 0;
+    audit_.to = std::to_string(applied) + " of " + std::to_string(batch.moves.size()) + " moves";
+    if (applied == 0 && !batch.moves.empty()) {
+      return {ApplyOutcome::kStale, "all moves are older or of shards held elsewhere"};
+    }
+    return {};
+  }
+
+  ApplyResult operator()(const DataCentreChange& change) {
+    audit_.what += " " + change.data_centre;
+    const auto id = DataCentreId::FromName(change.data_centre);
+    if (!HasId(state_.config_->data_centres, id)) return Refused("unknown data centre");
+    return ChangeEntity(state_.data_centres_, id, change);
+  }
+
+  ApplyResult operator()(const TargetChange& change) {
+    audit_.what += " " + change.target;
+    const auto id = TargetId::FromName(change.target);
+    if (!HasId(state_.config_->targets, id)) return Refused("unknown target");
+    return ChangeEntity(state_.targets_, id, change);
+  }
+
+  ApplyResult operator()(const SecretChange& change) {
+    audit_.what += " " + change.account;
+    const auto id = AccountId::FromName(change.account);
+    if (!HasId(state_.config_->accounts, id)) return Refused("unknown client account");
+    const std::uint64_t version = state_.secrets_version(id);
+    audit_.from = VersionText(version);
+    audit_.to = VersionText(version + 1) + ", " + std::string(detail::EnumName(change.action)) +
+                " " + change.secret.key_id;
+    if (change.expected_version != version) {
+      return Stale("version", change.expected_version, version);
+    }
+    ApplyResult result = change.action == SecretAction::kAdd ? AddSecret(id, change.secret)
+                                                             : WithdrawSecret(id, change.secret);
+    if (result.outcome != ApplyOutcome::kApplied) return result;
+    ++state_.secrets_[id].version;
+    state_.OverlaySecrets();
+    return result;
+  }
+
+  ApplyResult operator()(const QuarantineChange& change) {
+    const QuarantineEntry* old = state_.quarantine(change.fingerprint);
+    const std::uint64_t version = old == nullptr ? 0 : old->version;
+    audit_.what += " " + detail::ToHex(change.fingerprint);
+    audit_.from = old == nullptr ? "none" : std::string(detail::EnumName(old->state));
+    audit_.to = detail::EnumName(change.state);
+    if (change.expected_version != version) {
+      return Stale("version", change.expected_version, version);
+    }
+    state_.quarantine_[change.fingerprint] = {version + 1, change.state, offset_};
+    BoundQuarantine();
+    return {};
+  }
+
+  ApplyResult operator()(const ShardSplit& change) {
+    const ServiceConfig* service = FindService(*state_.config_, change.service);
+    audit_.what += " " + (service ? service->name : detail::ToHex(change.service.value)) + " " +
+                   detail::ToHex(change.key_hash);
+    audit_.to = detail::EnumName(change.action);
+    if (service == nullptr || !service->keyed) return Refused("unknown keyed service");
+    SplitTable& table = state_.splits_[change.service];
+    if (change.expected_version != table.version) {
+      return Stale("version", change.expected_version, table.version);
+    }
+    ApplyResult result = change.action == SplitAction::kSplit ? Split(table, *service, change)
+                                                              : Merge(table, change);
+    if (result.outcome == ApplyOutcome::kApplied) ++table.version;
+    return result;
+  }
+
+  /// A snapshot describes the state and does not change it.
+  ApplyResult operator()(const SnapshotChunk& /*chunk*/) { return {}; }
+
+ private:
+  /// Publishes the document that `make` returns, if `expected` is current and it is valid.
+  template <typename Make>
+  ApplyResult Publish(std::uint64_t expected, Make make) {
+    const std::uint64_t version = state_.config_version_;
+    audit_.from = VersionText(version);
+    audit_.to = VersionText(version + 1);
+    if (expected != version) return Stale("version", expected, version);
+    try {
+      const json document = make();
+      Config config = ReadConfig(document, record_.time_ms);
+      if (std::string fault = ShardCountFault(*state_.config_, config); !fault.empty()) {
+        return Refused(fault);
+      }
+      if (std::string fault = SecretsFault(config); !fault.empty()) return Refused(fault);
+      Accept(document, std::move(config));
+    } catch (const ConfigError& e) {
+      return Refused(e.what());
+    } catch (const json::exception& e) {
+      return Refused(std::string("the patch does not apply: ") + e.what());
+    }
+    audit_.to += ", document " + detail::ToHex(detail::HashText(state_.document_));
+    return {};
+  }
+
+  void Accept(const json& document, Config config) {
+    // The text is stored rather than the tree, which takes several times the memory.
+    state_.document_ = document.dump(-1, ' ', false, json::error_handler_t::replace);
+    ++state_.config_version_;
+    DropListedSecrets(config);
+    config.version = state_.config_version_;
+    state_.base_config_ = std::make_shared<const Config>(std::move(config));
+    state_.MakeConfig(record_.time_ms);
+    DropRemovedServices();
+  }
+
+  /// Removes added secrets from the overlay that the document lists by now.
+  void DropListedSecrets(const Config& config) {
+    for (const AccountConfig& account : config.accounts) {
+      SecretOverlay* overlay = FindIn(state_.secrets_, account.id);
+      if (overlay == nullptr) continue;
+      std::erase_if(overlay->added, [&](const SecretConfig& added) {
+        return std::any_of(account.secrets.begin(), account.secrets.end(),
+                           [&](const SecretConfig& s) { return s.key_id == added.key_id; });
+      });
+    }
+  }
+
+  void DropRemovedServices() {
+    const Config& config = *state_.config_;
+    std::erase_if(state_.assignments_, [&](const auto& entry) {
+      return FindService(config, entry.first.service) == nullptr;
+    });
+  }
+
+  /// Returns a fault when an account would have more than two valid secrets.
+  std::string SecretsFault(const Config& config) const {
+    for (const AccountConfig& account : config.accounts) {
+      const SecretOverlay* overlay = FindIn(state_.secrets_, account.id);
+      if (overlay == nullptr) continue;
+      std::set<std::string> ids;
+      for (const SecretConfig& s : account.secrets) ids.insert(s.key_id);
+      for (const SecretConfig& s : overlay->added) ids.insert(s.key_id);
+      for (const std::string& id : overlay->withdrawn) ids.erase(id);
+      if (ids.size() > kMaxAccountSecrets) {
+        return "account '" + account.name + "' would have more than two valid secrets";
+      }
+    }
+    return {};
+  }
+
+  std::string GroupFault(const DelegationChange& change) const {
+    // Offset 0 stands for "no delegation" in expected epochs.
+    if (offset_ == 0) return "a delegation cannot be the first record of the log";
+    if (change.members.empty() || change.members.size() > kMaxGroupMembers) {
+      return "a permit group has one to seven members";
+    }
+    std::set<InstanceId> ids;
+    bool has_coordinator = false;
+    for (const Member& member : change.members) {
+      if (!ids.insert(member.id).second) return "an instance is a member twice";
+      has_coordinator |= member.id == change.coordinator && !member.witness;
+    }
+    return has_coordinator ? "" : "the coordinator is not a member, or a witness";
+  }
+
+  /// Returns whether the move was recorded. Another data centre's shard can be taken only after it
+  /// was released, or when its data centre is lost or has yielded.
+  bool Move(const AssignmentBatch& batch, const Assignment& move) {
+    HomedAssignment* held = FindIn(state_.assignments_, move.shard);
+    if (held != nullptr) {
+      const bool same = held->data_centre == batch.data_centre;
+      if (same && move.epoch <= held->epoch) return false;
+      if (!same && !MayTake(*held, move.shard)) return false;
+    }
+    if (FindService(*state_.config_, move.shard.service) == nullptr) return false;
+    state_.assignments_[move.shard] = {batch.data_centre, move.target, move.epoch};
+    return true;
+  }
+
+  bool MayTake(const HomedAssignment& held, const ShardId& shard) const {
+    if (held.target == TargetId{}) return true;
+    const DataCentreState state = state_.data_centre(held.data_centre).state;
+    if (state == DataCentreState::kLost) return true;
+    if (state != DataCentreState::kYielded) return false;
+    const ServiceConfig* service = FindService(*state_.config_, shard.service);
+    return service != nullptr && std::holds_alternative<YieldOnIsolation>(service->on_isolation);
+  }
+
+  template <typename Map, typename Id, typename Change>
+  ApplyResult ChangeEntity(Map& map, Id id, const Change& change) {
+    const auto it = map.find(id);
+    const auto old = it == map.end() ? typename Map::mapped_type{} : it->second;
+    audit_.from = detail::EnumName(old.state);
+    audit_.to = detail::EnumName(change.state);
+    if (change.expected_version != old.version) {
+      return Stale("version", change.expected_version, old.version);
+    }
+    map[id] = {old.version + 1, change.state};
+    return {};
+  }
+
+  const AccountConfig& AccountOf(AccountId id) const {
+    const auto& accounts = state_.config_->accounts;
+    return *std::find_if(accounts.begin(), accounts.end(),
+                         [&](const AccountConfig& a) { return a.id == id; });
+  }
+
+  ApplyResult AddSecret(AccountId id, const SecretConfig& secret) {
+    const SecretOverlay* overlay = FindIn(state_.secrets_, id);
+    if (overlay != nullptr &&
+        std::count(overlay->withdrawn.begin(), overlay->withdrawn.end(), secret.key_id) > 0) {
+      return Refused("the key id was withdrawn before");
+    }
+    for (const AccountConfig& account : state_.config_->accounts) {
+      for (const SecretConfig& s : account.secrets) {
+        if (s.key_id == secret.key_id) return Refused("the key id is in use");
+      }
+    }
+    if (AccountOf(id).secrets.size() >= kMaxAccountSecrets) {
+      return Refused("the account has two valid secrets already");
+    }
+    if (!SecretIsWellFormed(secret)) return Refused("key id, salt or hash is malformed");
+    state_.secrets_[id].added.push_back(secret);
+    return {};
+  }
+
+  /// Lets the reader of documents judge the secret, so that both ways of adding one are as strict.
+  static bool SecretIsWellFormed(const SecretConfig& secret) {
+    const json account = {{"name", "a"}, {"secrets", json::array({detail::ToJson(secret)})}};
+    try {
+      ReadConfig({{"accounts", json::array({account})}}, 0);
+      return true;
+    } catch (const ConfigError&) {
+      return false;
+    }
+  }
+
+  ApplyResult WithdrawSecret(AccountId id, const SecretConfig& secret) {
+    const auto& valid = AccountOf(id).secrets;
+    const bool known = std::any_of(valid.begin(), valid.end(), [&](const SecretConfig& s) {
+      return s.key_id == secret.key_id;
+    });
+    if (!known) return Refused("the account has no valid secret with this key id");
+    SecretOverlay& overlay = state_.secrets_[id];
+    std::erase_if(overlay.added, [&](const SecretConfig& s) { return s.key_id == secret.key_id; });
+    overlay.withdrawn.push_back(secret.key_id);
+    return {};
+  }
+
+  void BoundQuarantine() {
+    auto& map = state_.quarantine_;
+    if (map.size() <= kMaxQuarantineEntries) return;
+    const auto rank = [](const auto& entry) {
+      return std::pair(entry.second.state == QuarantineState::kQuarantined, entry.second.offset);
+    };
+    map.erase(std::min_element(map.begin(), map.end(),
+                               [&](const auto& a, const auto& b) { return rank(a) < rank(b); }));
+  }
+
+  static auto FindSplit(SplitTable& table, std::uint64_t key_hash) {
+    return std::find_if(table.splits.begin(), table.splits.end(),
+                        [&](const KeySplit& s) { return s.key_hash == key_hash; });
+  }
+
+  static ApplyResult Split(SplitTable& table, const ServiceConfig& service,
+                           const ShardSplit& change) {
+    if (FindSplit(table, change.key_hash) != table.splits.end()) return Refused("split already");
+    if (table.splits.size() >= kMaxSplits) return Refused("the service has 256 splits already");
+    // An index is never used again: an old assignment of it would be taken for the new key's.
+    table.next_index = std::max(table.next_index, service.shard_count);
+    table.splits.push_back({change.key_hash, table.next_index++});
+    return {};
+  }
+
+  ApplyResult Merge(SplitTable& table, const ShardSplit& change) {
+    const auto it = FindSplit(table, change.key_hash);
+    if (it == table.splits.end()) return Refused("the key has no shard of its own");
+    state_.assignments_.erase(ShardId{change.service, it->index});
+    table.splits.erase(it);
+    return {};
+  }
+
+  ControlState& state_;
+  std::uint64_t offset_;
+  const Record& record_;
+  AuditEntry& audit_;
+};
+
+ControlState::ControlState(std::uint64_t first_offset)
+    : next_offset_(first_offset),
+      base_config_(std::make_shared<const Config>()),
+      config_(base_config_) {}
+
+ApplyResult ControlState::Apply(std::uint64_t offset, const Record& record) {
+  if (offset != next_offset_) {
+    throw StateError("record " + std::to_string(offset) + " does not follow; next is " +
+                     std::to_string(next_offset_));
+  }
+  AuditEntry audit{offset, record.time_ms, record.writer, Shorten(record.actor),
+                   std::string(RecordTypeName(record.body))};
+  audit.reason = Shorten(record.reason);
+  ApplyResult result;
+  if (NoteWriter(offset, record, result)) {
+    result = std::visit(StateFolder(*this, offset, record, audit), record.body);
+  }
+  next_offset_ = offset + 1;
+  if (std::holds_alternative<SnapshotChunk>(record.body)) return result;
+  audit.outcome = result.outcome;
+  audit.detail = Shorten(result.detail);
+  audit.what = Shorten(std::move(audit.what));
+  AddAudit(std::move(audit));
+  return result;
+}
+
+ApplyResult ControlState::ApplyText(std::uint64_t offset, std::string_view text) {
+  try {
+    return Apply(offset, DecodeRecord(text));
+  } catch (const UnknownRecordError&) {
+    throw;
+  } catch (const RecordError& e) {
+    if (offset != next_offset_) throw StateError("record does not follow");
+    next_offset_ = offset + 1;
+    AuditEntry audit{offset};
+    audit.what = "malformed record";
+    audit.outcome = ApplyOutcome::kRefused;
+    audit.detail = Shorten(e.what());
+    AddAudit(audit);
+    return {ApplyOutcome::kRefused, e.what()};
+  }
+}
+
+/// Returns whether the record is to be folded; otherwise `result` says why not.
+bool ControlState::NoteWriter(std::uint64_t offset, const Record& record, ApplyResult& result) {
+  WriterState& writer = writers_[record.writer];
+  writer.last_offset = offset;
+  if (record.incarnation < writer.incarnation) {
+    result = {ApplyOutcome::kStale, "the writer was restarted since"};
+    return false;
+  }
+  if (record.incarnation > writer.incarnation) {
+    writer = {record.incarnation, 0, 0, offset};
+  }
+  if (record.sequence > writer.highest) {
+    const std::uint64_t shift = record.sequence - writer.highest;
+    writer.seen = shift < kWriterWindow ? writer.seen << shift : 0;
+    writer.highest = record.sequence;
+  }
+  const std::uint64_t age = writer.highest - record.sequence;
+  const bool seen = age >= kWriterWindow || (writer.seen >> age & 1) != 0;
+  if (seen) {
+    result = {ApplyOutcome::kRepeated, "the record was folded before"};
+    return false;
+  }
+  writer.seen |= std::uint64_t{1} << age;
+  if (writers_.size() > kMaxWriters) EvictWriter();
+  return true;
+}
+
+void ControlState::EvictWriter() {
+  writers_.erase(std::min_element(
+      writers_.begin(), writers_.end(),
+      [](const auto& a, const auto& b) { return a.second.last_offset < b.second.last_offset; }));
+}
+
+void ControlState::AddAudit(AuditEntry entry) {
+  audit_.push_back(std::move(entry));
+  if (audit_.size() > kMaxAuditEntries) audit_.pop_front();
+}
+
+void ControlState::MakeConfig(std::int64_t unix_ms) {
+  next_exception_end_ms_.reset();
+  for (const ExceptionConfig& entry : base_config_->exceptions) {
+    if (!entry.ends_at_ms || *entry.ends_at_ms <= unix_ms) continue;
+    next_exception_end_ms_ =
+        std::min(*entry.ends_at_ms, next_exception_end_ms_.value_or(*entry.ends_at_ms));
+  }
+  OverlaySecrets();
+}
+
+void ControlState::OverlaySecrets() {
+  if (secrets_.empty()) {
+    config_ = base_config_;
+    return;
+  }
+  auto config = std::make_shared<Config>(*base_config_);
+  for (AccountConfig& account : config->accounts) {
+    const SecretOverlay* overlay = FindIn(secrets_, account.id);
+    if (overlay == nullptr) continue;
+    account.secrets.insert(account.secrets.end(), overlay->added.begin(), overlay->added.end());
+    std::erase_if(account.secrets, [&](const SecretConfig& secret) {
+      return std::count(overlay->withdrawn.begin(), overlay->withdrawn.end(), secret.key_id) > 0;
+    });
+  }
+  config_ = std::move(config);
+}
+
+bool ControlState::RefreshExceptions(std::int64_t unix_ms) {
+  if (!next_exception_end_ms_ || unix_ms < *next_exception_end_ms_) return false;
+  Config config = ReadConfig(json::parse(document_), unix_ms);
+  config.version = config_version_;
+  base_config_ = std::make_shared<const Config>(std::move(config));
+  MakeConfig(unix_ms);
+  return true;
+}
+
+const Delegation* ControlState::delegation(DataCentreId data_centre) const {
+  return FindIn(delegations_, data_centre);
+}
+
+Versioned<DataCentreState> ControlState::data_centre(DataCentreId id) const {
+  const auto* entry = FindIn(data_centres_, id);
+  return entry == nullptr ? Versioned<DataCentreState>{} : *entry;
+}
+
+Versioned<TargetState> ControlState::target(TargetId id) const {
+  const auto* entry = FindIn(targets_, id);
+  return entry == nullptr ? Versioned<TargetState>{} : *entry;
+}
+
+std::uint64_t ControlState::secrets_version(AccountId account) const {
+  const SecretOverlay* overlay = FindIn(secrets_, account);
+  return overlay == nullptr ? 0 : overlay->version;
+}
+
+const QuarantineEntry* ControlState::quarantine(std::uint64_t fingerprint) const {
+  return FindIn(quarantine_, fingerprint);
+}
+
+const SplitTable* ControlState::splits(ServiceId service) const { return FindIn(splits_, service); }
+
+struct StateFields {
+  template <typename Archive, typename State>
+  static void Describe(Archive& field, State& self) {
+    field("next_offset", self.next_offset_);
+    field("config_version", self.config_version_);
+    field("document", self.document_);
+    field("delegations", self.delegations_);
+    field("data_centres", self.data_centres_);
+    field("targets", self.targets_);
+    field("secrets", self.secrets_);
+    field("quarantine", self.quarantine_);
+    field("splits", self.splits_);
+    field("assignments", self.assignments_);
+    field("writers", self.writers_);
+    field("audit", self.audit_);
+  }
+};
+
+std::string ControlState::Serialize() const {
+  json out;
+  detail::JsonWriter writer(out);
+  StateFields::Describe(writer, *this);
+  out["format"] = kSnapshotFormat;
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+ControlState ControlState::Deserialize(std::string_view text, std::int64_t unix_ms) {
+  if (detail::NestsTooDeep(text)) throw StateError("the snapshot nests too deep");
+  const json in = json::parse(text, nullptr, false);
+  if (in.is_discarded()) throw StateError("the snapshot is not JSON");
+  try {
+    detail::JsonReader reader(in);
+    std::uint32_t format = 0;
+    reader("format", format);
+    if (format != kSnapshotFormat) throw StateError("the snapshot has another format");
+    ControlState state;
+    StateFields::Describe(reader, state);
+    reader.Finish();
+    if (!state.document_.empty()) {
+      Config config = ReadConfig(json::parse(state.document_), unix_ms);
+      config.version = state.config_version_;
+      state.base_config_ = std::make_shared<const Config>(std::move(config));
+    }
+    state.MakeConfig(unix_ms);
+    return state;
+  } catch (const detail::FieldError&) {
+    std::throw_with_nested(StateError("the snapshot is no control state"));
+  } catch (const ConfigError&) {
+    std::throw_with_nested(StateError("the snapshot's configuration is invalid"));
+  } catch (const json::exception&) {
+    std::throw_with_nested(StateError("the snapshot's configuration is not JSON"));
+  }
+}
+
+std::uint64_t ControlState::Digest() const { return detail::HashText(Serialize()); }
+
+}  // namespace dogwoodport
