--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export CCACHE_NOHASHDIR = 1
 export CCACHE_BASEDIR = $(CURDIR)
 
-.PHONY: setup build run check format-check lint test measure model replay sanitize format
+.PHONY: setup build run check format-check layers lint test measure model replay sanitize format
 
 setup:
 	@scripts/install_packages.sh
@@ -20,7 +20,7 @@
 run: build
 	scripts/run_demo.sh $(BUILD)
 
-check: setup format-check build lint test replay model
+check: setup format-check build layers lint test replay model
 
 format:
 	scripts/sources.sh | xargs clang-format -i
@@ -31,6 +31,9 @@
 lint: build
 	scripts/lint.sh $(BUILD) $(JOBS)
 
+layers: build
+	scripts/check_layers.sh $(BUILD)
+
 test: build
 	scripts/run_tests.sh $(BUILD) $(JOBS)
 
