--- a/packages/core/include/dogwoodport/core/control_state.h
+++ b/packages/core/include/dogwoodport/core/control_state.h
@@ -63,6 +63,8 @@
   std::uint64_t offset = 0;
   std::int64_t time_ms = 0;
   InstanceId writer;
+  Incarnation incarnation;
+  std::uint64_t sequence = 0;
   std::string actor;
   /// Type and entity, e.g. "target_change khata-3".
   std::string what;
@@ -186,6 +188,9 @@
   /// Assignments as last recorded in the log; the permit groups may have later ones.
   const std::map<ShardId, HomedAssignment>& assignments() const noexcept { return assignments_; }
 
+  /// Returns whether the record of a writer was folded. Complexity: logarithmic.
+  bool HasFolded(InstanceId writer, Incarnation incarnation, std::uint64_t sequence) const;
+
   /// The last `kMaxAuditEntries` records, oldest first.
   const std::deque<AuditEntry>& audit() const noexcept { return audit_; }
 
--- a/packages/core/include/dogwoodport/core/detail/state_fields.h
+++ b/packages/core/include/dogwoodport/core/detail/state_fields.h
@@ -13,6 +13,8 @@
   field("offset", self.offset);
   field("time_ms", self.time_ms);
   field("writer", self.writer);
+  field("incarnation", self.incarnation);
+  field("sequence", self.sequence);
   field("actor", self.actor);
   field("what", self.what);
   field("from", self.from);
--- a/packages/core/include/dogwoodport/core/message.h
+++ b/packages/core/include/dogwoodport/core/message.h
@@ -30,9 +30,7 @@
 class Outbox {
  public:
   /// Appends `message` for `to`. Complexity: amortized constant.
-  void Send(InstanceId to, Message message) {
-    envelopes_.push_back(Envelope{to, std::move(message)});
-  }
+  void Send(InstanceId to, Message message);
 
   /// Removes and returns all messages. Complexity: constant.
   std::vector<Envelope> Take() { return std::exchange(envelopes_, {}); }
--- a/packages/core/src/config_reader.cc
+++ b/packages/core/src/config_reader.cc
@@ -2,6 +2,8 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
+#include <array>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -67,6 +69,12 @@
          inet_pton(AF_INET6, text.c_str(), &buf) == 1;
 }
 
+bool IsMethod(std::string_view text) {
+  constexpr std::array<std::string_view, 6> kMethods = {"GET", "HEAD",  "POST",
+                                                        "PUT", "PATCH", "DELETE"};
+  return std::find(kMethods.begin(), kMethods.end(), text) != kMethods.end();
+}
+
 std::string EscapeToken(std::string_view name) {
   std::string text;
   for (const char c : name) {
@@ -302,7 +310,7 @@
   /// Returns the name in field `name` if it is in `table`, else adds a fault.
   std::string Reference(ObjectReader& fields, const char* name, const NameTable& table,
                         const std::string& kind) {
-    const std::string text = fields.Name(name);
+    std::string text = fields.Name(name);
     if (!text.empty() && !table.Has(text)) {
       faults_.push_back({fields.Pointer(name), json(text).dump(), "the name of a " + kind});
     }
@@ -335,9 +343,8 @@
   }
 
   void ReadMethods(ObjectReader& fields, RouteConfig& entry) {
-    static const std::set<std::string> kMethods = {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"};
     fields.List("methods", [&](const json& in, const std::string& at) {
-      if (in.is_string() && kMethods.contains(in.get_ref<const std::string&>())) {
+      if (in.is_string() && IsMethod(in.get_ref<const std::string&>())) {
         entry.methods.push_back(in.get<std::string>());
       } else {
         fields.Fault(at, in, "one of GET, HEAD, POST, PUT, PATCH, DELETE");
--- a/packages/core/src/control_state.cc
+++ b/packages/core/src/control_state.cc
@@ -1,6 +1,7 @@
 #include "dogwoodport/core/control_state.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -69,11 +70,12 @@
 /// Operations that copy parts of the document could double it with each step.
 std::string PatchFault(const json& operations) {
   if (!operations.is_array()) return "the patch is not a list of operations";
-  static const std::set<std::string> kAllowed = {"add", "remove", "replace", "test"};
+  constexpr std::array<std::string_view, 4> kAllowed = {"add", "remove", "replace", "test"};
   for (const json& operation : operations) {
     const auto it = operation.is_object() ? operation.find("op") : operation.end();
     const bool allowed = operation.is_object() && it != operation.end() && it->is_string() &&
-                         kAllowed.contains(it->get<std::string>());
+                         std::find(kAllowed.begin(), kAllowed.end(),
+                                   it->get_ref<const std::string&>()) != kAllowed.end();
     if (!allowed) return "a patch operation is not add, remove, replace or test";
   }
   return {};
@@ -416,7 +418,12 @@
     throw StateError("record " + std::to_string(offset) + " does not follow; next is " +
                      std::to_string(next_offset_));
   }
-  AuditEntry audit{offset, record.time_ms, record.writer, Shorten(record.actor),
+  AuditEntry audit{offset,
+                   record.time_ms,
+                   record.writer,
+                   record.incarnation,
+                   record.sequence,
+                   Shorten(record.actor),
                    std::string(RecordTypeName(record.body))};
   audit.reason = Shorten(record.reason);
   ApplyResult result;
@@ -476,6 +483,15 @@
   return true;
 }
 
+bool ControlState::HasFolded(InstanceId writer, Incarnation incarnation,
+                             std::uint64_t sequence) const {
+  const WriterState* entry = FindIn(writers_, writer);
+  if (entry == nullptr || entry->incarnation != incarnation) return false;
+  if (sequence > entry->highest) return false;
+  const std::uint64_t age = entry->highest - sequence;
+  return age >= kWriterWindow || (entry->seen >> age & 1) != 0;
+}
+
 void ControlState::EvictWriter() {
   writers_.erase(std::min_element(
       writers_.begin(), writers_.end(),
@@ -553,7 +569,6 @@
   static void Describe(Archive& field, State& self) {
     field("next_offset", self.next_offset_);
     field("config_version", self.config_version_);
-    field("document", self.document_);
     field("delegations", self.delegations_);
     field("data_centres", self.data_centres_);
     field("targets", self.targets_);
@@ -571,7 +586,10 @@
   detail::JsonWriter writer(out);
   StateFields::Describe(writer, *this);
   out["format"] = kSnapshotFormat;
-  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+  std::string text = out.dump(-1, ' ', false, json::error_handler_t::replace);
+  // The document is JSON text already; as a string it would be escaped, and once more in a chunk.
+  text.pop_back();
+  return text + ",\"document\":" + (document_.empty() ? "null" : document_) + "}";
 }
 
 ControlState ControlState::Deserialize(std::string_view text, std::int64_t unix_ms) {
@@ -585,9 +603,12 @@
     if (format != kSnapshotFormat) throw StateError("the snapshot has another format");
     ControlState state;
     StateFields::Describe(reader, state);
+    json document;
+    reader("document", document);
     reader.Finish();
-    if (!state.document_.empty()) {
-      Config config = ReadConfig(json::parse(state.document_), unix_ms);
+    if (!document.is_null()) {
+      state.document_ = document.dump();
+      Config config = ReadConfig(document, unix_ms);
       config.version = state.config_version_;
       state.base_config_ = std::make_shared<const Config>(std::move(config));
     }
--- /dev/null
+++ b/packages/core/src/log_follower.cc
@@ -0,0 +1,565 @@
+#include "dogwoodport/core/log_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwoodport {
+namespace {
+
+/// The reader relays at least this often, so that others notice within `kReaderTimeout`.
+constexpr Duration kRelayInterval{100'000};
+/// A read without an answer or failure for this time is given up; the caller has its own timeouts.
+constexpr Duration kReadAbandoned{10'000'000};
+/// A scan that found no snapshot is repeated after this time.
+constexpr Duration kScanInterval{5'000'000};
+/// A snapshot that is offered to peers is made anew after this time.
+constexpr Duration kOfferLifetime{10'000'000};
+/// While chunks of another writer appear this recently, that writer is at work.
+constexpr Duration kChunkQuiet{10'000'000};
+/// Records in one append.
+constexpr std::size_t kAppendMax = 16;
+
+bool IsChunk(const RecordBody& body) { return std::holds_alternative<SnapshotChunk>(body); }
+
+}  // namespace
+
+LogFollower::LogFollower(const InstanceIdentity& self, std::string name, TimePoint now)
+    : self_(self), name_(std::move(name)), last_relay_heard_(now), now_(now) {}
+
+void LogFollower::NoteFault(std::string text) {
+  if (text != fault_) ++fault_count_;
+  fault_ = std::move(text);
+}
+
+// --- Reading the log ------------------------------------------------------------------------
+
+void LogFollower::OnRead(TimePoint now, std::uint64_t id, const LogPage& page, Outbox& out) {
+  const auto it = reads_.find(id);
+  if (it == reads_.end()) return;
+  const ReadInFlight read = it->second;
+  reads_.erase(it);
+  now_ = now;
+  // The answer says what the log held at some moment after the read was sent.
+  last_read_ = std::max(read.sent, last_read_.value_or(read.sent));
+  last_contact_ = std::max(*last_read_, last_contact_.value_or(*last_read_));
+  backoff_ = Duration{0};
+  log_next_ = std::max(log_next_, page.next);
+  first_retained_ = std::max(first_retained_, page.first_retained);
+  if (read.from == kFarEnd) return OnBounds(now, page);
+  if (scan_ && read.from == scan_->next) return OnScanPage(now, page);
+  if (scan_ || stopped_at_) return;
+  const std::uint64_t before = state_.next_offset();
+  const bool gap = ApplyRecords(page.records);
+  const bool nothing = page.records.empty() && page.next > read.from && read.from == before;
+  if (gap || nothing) {
+    OnHole(now, state_.next_offset());
+  } else if (state_.next_offset() > before || page.next <= state_.next_offset()) {
+    hole_reads_ = 0;
+    if (!stopped_at_) fault_.clear();
+  }
+  more_to_read_ = state_.next_offset() < page.next;
+  UpdateReady(now);
+  if (reader_ && state_.next_offset() > before) Relay(now, before, out);
+}
+
+void LogFollower::OnReadFailed(TimePoint now, std::uint64_t id, LogFailure failure) {
+  const auto it = reads_.find(id);
+  if (it == reads_.end()) return;
+  const std::uint64_t from = it->second.from;
+  reads_.erase(it);
+  now_ = now;
+  if (failure == LogFailure::kExpired) {
+    const bool current = from == state_.next_offset() || (scan_ && from == scan_->next);
+    if (!current) return;
+    // The log has forgotten records that this instance lacks; a snapshot replaces them.
+    if (loaded_) NoteFault("offset " + std::to_string(from) + " is no longer retained by the log");
+    scan_.reset();
+    need_bounds_ = true;
+    return;
+  }
+  backoff_ = std::clamp(backoff_ * 2, kPollInterval, kMaxBackoff);
+}
+
+void LogFollower::OnBounds(TimePoint now, const LogPage& page) {
+  need_bounds_ = false;
+  const bool recent = last_scan_ && now - *last_scan_ < kScanInterval;
+  if (recent || page.first_retained >= page.next) return;
+  last_scan_ = now;
+  scan_ = Scan{page.first_retained, page.next};
+}
+
+void LogFollower::OnScanPage(TimePoint now, const LogPage& page) {
+  for (const LogRecord& record : page.records) {
+    scan_->next = record.offset + 1;
+    try {
+      const Record decoded = DecodeRecord(record.data);
+      const auto* chunk = std::get_if<SnapshotChunk>(&decoded.body);
+      if (chunk == nullptr) continue;
+      NoteChunk(*chunk);
+      if (auto fault = log_snapshots_.Add(*chunk, unix_ms_)) NoteFault(*fault);
+    } catch (const RecordError&) {
+      // Only snapshots matter here; the fold judges the record if it gets there.
+    }
+  }
+  if (page.records.empty() || scan_->next >= scan_->end) EndScan(now);
+}
+
+void LogFollower::EndScan(TimePoint now) {
+  scan_.reset();
+  auto snapshot = log_snapshots_.TakeLatest();
+  if (snapshot && snapshot->next_offset() > state_.next_offset()) {
+    Adopt(std::move(*snapshot));
+  } else if (state_.next_offset() < first_retained_) {
+    NoteFault("no complete snapshot is retained by the log");
+    last_scan_ = now;
+  }
+  more_to_read_ = true;
+}
+
+void LogFollower::OnHole(TimePoint now, std::uint64_t offset) {
+  if (++hole_reads_ < kHoleReads) return;
+  hole_reads_ = 0;
+  NoteFault("the log has no record at offset " + std::to_string(offset));
+  // What the record said is not guessed: a peer that has it, or a snapshot beyond it, helps.
+  behind_since_ = now - kReaderTimeout;
+  need_bounds_ = true;
+}
+
+bool LogFollower::ApplyRecords(const std::vector<LogRecord>& records) {
+  for (const LogRecord& record : records) {
+    if (record.offset < state_.next_offset()) continue;
+    if (record.offset > state_.next_offset()) {
+      // A log whose first record is not at offset 1 is followed from its beginning.
+      const bool beginning = !loaded_ && record.offset <= 1;
+      if (!beginning) return true;
+      state_ = ControlState(record.offset);
+    }
+    if (!ApplyOne(record)) return false;
+  }
+  return false;
+}
+
+bool LogFollower::ApplyOne(const LogRecord& record) {
+  try {
+    const ApplyResult result = state_.ApplyText(record.offset, record.data);
+    loaded_ = true;
+    Keep(record);
+    NoteApplied(record, result);
+    return true;
+  } catch (const UnknownRecordError& e) {
+    stopped_at_ = record.offset;
+    reader_ = false;
+    NoteFault("stopped at offset " + std::to_string(record.offset) + ": " + e.what());
+    return false;
+  }
+}
+
+/// Resolves own writes and notes snapshots among the records that were just folded.
+void LogFollower::NoteApplied(const LogRecord& record, const ApplyResult& result) {
+  const bool has_chunk = record.data.find("\"snapshot_chunk\"") != std::string::npos;
+  if (pending_.empty() && !has_chunk) return;
+  try {
+    const Record decoded = DecodeRecord(record.data);
+    if (const auto* chunk = std::get_if<SnapshotChunk>(&decoded.body)) NoteChunk(*chunk);
+    if (decoded.writer != self_.id || decoded.incarnation != self_.incarnation) return;
+    const auto it = pending_.find(decoded.sequence);
+    if (it == pending_.end()) return;
+    if (!IsChunk(decoded.body)) outcomes_.push_back({decoded.sequence, record.offset, result});
+    pending_.erase(it);
+  } catch (const RecordError&) {
+    // Malformed text is nobody's pending write: those were encoded here.
+  }
+}
+
+void LogFollower::NoteChunk(const SnapshotChunk& chunk) {
+  chunk_seen_ = now_;
+  if (chunk.base_offset <= snapshot_base_ || chunk.base_offset < partial_base_) return;
+  if (chunk.base_offset > partial_base_) {
+    partial_base_ = chunk.base_offset;
+    partial_chunks_.clear();
+  }
+  partial_chunks_[chunk.index] = true;
+  if (partial_chunks_.size() < chunk.count) return;
+  snapshot_base_ = chunk.base_offset;
+  snapshot_seen_ = now_;
+  partial_chunks_.clear();
+}
+
+void LogFollower::Keep(const LogRecord& record) {
+  recent_.push_back(record);
+  recent_bytes_ += record.data.size();
+  while (recent_.size() > kRecentRecords || (recent_bytes_ > kRecentBytes && recent_.size() > 1)) {
+    recent_bytes_ -= recent_.front().data.size();
+    recent_.pop_front();
+  }
+}
+
+/// Replaces the state by a newer one.
+void LogFollower::Adopt(ControlState state) {
+  if (loaded_ && state.next_offset() <= state_.next_offset()) return;
+  state_ = std::move(state);
+  loaded_ = true;
+  stopped_at_.reset();
+  fault_.clear();
+  hole_reads_ = 0;
+  recent_.clear();
+  recent_bytes_ = 0;
+  ResolvePendingFromState();
+}
+
+void LogFollower::ResolvePendingFromState() {
+  std::erase_if(pending_, [&](const auto& entry) {
+    const auto& [sequence, write] = entry;
+    if (!state_.HasFolded(self_.id, self_.incarnation, sequence)) return false;
+    if (IsChunk(write.record.body)) return true;
+    WriteOutcome outcome{sequence, 0, std::nullopt};
+    for (const AuditEntry& audit : state_.audit()) {
+      const bool own = audit.writer == self_.id && audit.incarnation == self_.incarnation &&
+                       audit.sequence == sequence && audit.outcome != ApplyOutcome::kRepeated;
+      if (!own) continue;
+      outcome.offset = audit.offset;
+      outcome.result = ApplyResult{audit.outcome, audit.detail};
+    }
+    outcomes_.push_back(std::move(outcome));
+    return true;
+  });
+}
+
+// --- Who reads ------------------------------------------------------------------------------
+
+void LogFollower::UpdatePeers(TimePoint now, const Membership& membership) {
+  peers_.clear();
+  for (const auto& [id, member] : membership.members()) {
+    if (membership.liveness(now, id) == Liveness::kDead) continue;
+    peers_.push_back(
+        {id, member.state_offset, member.ready, member.data_centre == self_.data_centre});
+  }
+}
+
+std::size_t LogFollower::OwnRank() const {
+  return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const Peer& p) {
+    return p.own_data_centre && p.id < self_.id;
+  }));
+}
+
+void LogFollower::DecideReader(TimePoint now, const Membership& membership) {
+  coordinator_ = membership.is_coordinator();
+  if (stopped_at_) {
+    reader_ = false;
+    return;
+  }
+  if (coordinator_) {
+    reader_ = true;
+    return;
+  }
+  const Duration patience = kReaderTimeout + static_cast<int>(OwnRank()) * kReaderRankDelay;
+  if (now - last_relay_heard_ > patience) reader_ = true;
+}
+
+bool LogFollower::LogIsDown(TimePoint now) const {
+  return !last_contact_ || now - *last_contact_ > kLogDownAfter;
+}
+
+Duration LogFollower::ReadInterval() const {
+  if (backoff_ > Duration{0}) return reader_ ? backoff_ : kProbeInterval;
+  if (!reader_) return kProbeInterval;
+  if (!reads_.empty()) return kOverlapInterval;
+  return more_to_read_ || scan_ ? kCatchUpInterval : kPollInterval;
+}
+
+void LogFollower::SendReads(TimePoint now) {
+  std::erase_if(reads_, [&](const auto& r) { return now - r.second.sent > kReadAbandoned; });
+  const bool probing = !reader_ && !stopped_at_ && LogIsDown(now);
+  if (!reader_ && !probing) return;
+  if (reads_.size() >= kMaxReadsInFlight) return;
+  if (last_read_sent_ && now - *last_read_sent_ < ReadInterval()) return;
+  const bool scan_wait = last_scan_ && now - *last_scan_ < kScanInterval;
+  if (need_bounds_ && !scan_wait) return SendRead(now, kFarEnd, 0);
+  SendRead(now, scan_ ? scan_->next : state_.next_offset(), kReadMax);
+}
+
+void LogFollower::SendRead(TimePoint now, std::uint64_t from, std::uint32_t max) {
+  const std::uint64_t id = next_request_++;
+  reads_[id] = {from, now};
+  last_read_sent_ = now;
+  requests_.push_back(LogRead{id, from, max});
+}
+
+// --- Relaying and catching up ---------------------------------------------------------------
+
+RecordRelay LogFollower::MakeRelay(TimePoint now, std::uint64_t from) const {
+  RecordRelay relay;
+  relay.next_offset = state_.next_offset();
+  relay.log_next = log_next_;
+  relay.log_age_us = last_read_ ? (now - *last_read_).count() : -1;
+  relay.is_reader = reader_;
+  std::size_t bytes = 0;
+  if (recent_.empty() || from < recent_.front().offset) return relay;
+  for (auto it = recent_.begin() + static_cast<std::ptrdiff_t>(from - recent_.front().offset);
+       it < recent_.end() && (bytes == 0 || bytes + it->data.size() <= kRelayBytes); ++it) {
+    bytes += it->data.size();
+    relay.records.push_back(*it);
+  }
+  return relay;
+}
+
+void LogFollower::Relay(TimePoint now, std::uint64_t from, Outbox& out) {
+  last_relay_sent_ = now;
+  const RecordRelay relay = MakeRelay(now, from);
+  for (const Peer& peer : peers_) {
+    if (peer.own_data_centre) out.Send(peer.id, relay);
+  }
+}
+
+void LogFollower::OnMessage(TimePoint now, InstanceId from, const RecordRelay& message,
+                            Outbox& out) {
+  now_ = now;
+  if (message.is_reader) {
+    last_relay_heard_ = now;
+    relayed_log_age_us_ = message.log_age_us;
+    const bool current = message.log_age_us >= 0 && Duration(message.log_age_us) <= kLogDownAfter;
+    // A substitute goes on only if the log does not answer the other reader.
+    const bool own_current = last_read_ && now - *last_read_ <= kLogDownAfter;
+    if (!coordinator_ && (current || !own_current)) reader_ = false;
+    if (message.log_age_us >= 0) {
+      const TimePoint contact = now - Duration(message.log_age_us);
+      last_contact_ = std::max(contact, last_contact_.value_or(contact));
+      log_next_ = std::max(log_next_, message.log_next);
+    }
+  }
+  if (stopped_at_) return;
+  const std::uint64_t before = state_.next_offset();
+  ApplyRecords(message.records);
+  const bool advanced = state_.next_offset() > before;
+  if (advanced && !stopped_at_) {
+    fault_.clear();
+    behind_since_.reset();
+  }
+  if (reader_ && advanced) Relay(now, before, out);
+  if (!stopped_at_ && message.next_offset > state_.next_offset()) {
+    const bool wait = last_request_ && !advanced && now - *last_request_ < kPollInterval;
+    if (!wait) RequestCatchUp(now, from, out);
+  }
+  UpdateReady(now);
+}
+
+void LogFollower::RequestCatchUp(TimePoint now, InstanceId peer, Outbox& out) {
+  last_request_ = now;
+  CatchUpRequest request{state_.next_offset(), stopped_at_.has_value(), 0, 0};
+  if (!loaded_) request.next_offset = 0;
+  if (peer_snapshot_id_ != 0) {
+    request.snapshot_id = peer_snapshot_id_;
+    request.next_chunk = peer_snapshots_.FirstMissing(peer_snapshot_id_);
+  }
+  out.Send(peer, request);
+}
+
+/// Asks the instance with the newest state, one after the other, when this one does not get on.
+void LogFollower::CatchUpFromPeers(TimePoint now, Outbox& out) {
+  std::vector<Peer> newer;
+  for (const Peer& peer : peers_) {
+    if (peer.state_offset > state_.next_offset() || (!loaded_ && peer.ready)) newer.push_back(peer);
+  }
+  if (newer.empty()) {
+    behind_since_.reset();
+    return;
+  }
+  if (!behind_since_ || behind_offset_ != state_.next_offset()) {
+    behind_offset_ = state_.next_offset();
+    // A new instance has nothing to wait for.
+    behind_since_ = loaded_ ? now : now - kReaderTimeout;
+  }
+  if (now - *behind_since_ < kReaderTimeout) return;
+  if (last_request_ && now - *last_request_ < kCatchUpTimeout) return;
+  std::sort(newer.begin(), newer.end(), [](const Peer& a, const Peer& b) {
+    return std::tuple(!a.own_data_centre, ~a.state_offset, a.id) <
+           std::tuple(!b.own_data_centre, ~b.state_offset, b.id);
+  });
+  RequestCatchUp(now, newer[request_count_++ % newer.size()].id, out);
+}
+
+void LogFollower::OnMessage(TimePoint now, InstanceId from, const CatchUpRequest& message,
+                            Outbox& out) {
+  now_ = now;
+  if (!loaded_ || stopped_at_ || message.next_offset >= state_.next_offset()) return;
+  const bool kept = !recent_.empty() && message.next_offset >= recent_.front().offset;
+  if (kept && !message.snapshot_only) {
+    out.Send(from, MakeRelay(now, message.next_offset));
+    return;
+  }
+  SendChunks(now, from, message, out);
+}
+
+void LogFollower::SendChunks(TimePoint now, InstanceId to, const CatchUpRequest& request,
+                             Outbox& out) {
+  const bool fresh = offered_at_ && now - *offered_at_ < kOfferLifetime && !offered_.empty() &&
+                     offered_.front().base_offset > request.next_offset;
+  const bool under_way = !offered_.empty() && request.snapshot_id == offered_.front().id;
+  if (!fresh && !under_way) {
+    offered_ = MakeSnapshot(state_);
+    offered_at_ = now;
+  }
+  const bool same = request.snapshot_id == offered_.front().id;
+  const std::size_t first = same ? request.next_chunk : 0;
+  const std::size_t end = std::min<std::size_t>(first + kChunksPerAnswer, offered_.size());
+  for (std::size_t n = first; n < end; ++n) {
+    out.Send(to, SnapshotPart{offered_[n], n + 1 == end});
+  }
+}
+
+void LogFollower::OnMessage(TimePoint now, InstanceId from, const SnapshotPart& message,
+                            Outbox& out) {
+  now_ = now;
+  if (loaded_ && message.chunk.base_offset <= state_.next_offset()) return;
+  peer_snapshot_id_ = message.chunk.id;
+  if (auto fault = peer_snapshots_.Add(message.chunk, unix_ms_)) {
+    NoteFault(*fault);
+    peer_snapshot_id_ = 0;
+    return;
+  }
+  if (auto state = peer_snapshots_.TakeLatest()) {
+    peer_snapshot_id_ = 0;
+    Adopt(std::move(*state));
+    UpdateReady(now);
+    // The records since the snapshot was made.
+    RequestCatchUp(now, from, out);
+    return;
+  }
+  if (message.last_of_answer) RequestCatchUp(now, from, out);
+}
+
+void LogFollower::UpdateReady(TimePoint now) {
+  if (ready_ || stopped_at_ || scan_) return;
+  const bool log_is_down = LogIsDown(now);
+  if (!log_is_down) {
+    const bool caught_up = log_next_ > 0 && state_.next_offset() >= log_next_;
+    ready_ = caught_up;
+    return;
+  }
+  // Without the log, the newest state among those that are ready is the current one.
+  bool any = false;
+  for (const Peer& peer : peers_) {
+    if (!peer.ready) continue;
+    any = true;
+    if (peer.state_offset > state_.next_offset()) return;
+  }
+  ready_ = any && loaded_;
+}
+
+// --- Writing --------------------------------------------------------------------------------
+
+std::optional<std::uint64_t> LogFollower::Submit(std::string actor, std::string reason,
+                                                 RecordBody body) {
+  const std::size_t limit =
+      IsChunk(body) ? kMaxPendingWrites : kMaxPendingWrites - kMaxPendingChunks;
+  if (pending_.size() >= limit) return std::nullopt;
+  const std::uint64_t sequence = next_sequence_++;
+  pending_[sequence].record = {self_.id,         self_.incarnation, sequence,
+                               std::move(actor), std::move(reason), unix_ms_,
+                               std::move(body)};
+  return sequence;
+}
+
+void LogFollower::SendAppends(TimePoint now) {
+  if (append_ || (append_not_before_ && now < *append_not_before_)) return;
+  LogAppend append{next_request_, {}};
+  for (auto& [sequence, write] : pending_) {
+    if (append.records.size() >= kAppendMax) break;
+    if (write.sent && now - *write.sent < kAppendRepeat) continue;
+    // A write is repeated only when reads since then did not bring it back.
+    if (write.sent && (!last_contact_ || *last_contact_ <= *write.sent)) continue;
+    write.sent = now;
+    appending_.push_back(sequence);
+    append.records.push_back(EncodeRecord(write.record));
+  }
+  if (append.records.empty()) return;
+  append_ = next_request_++;
+  requests_.push_back(std::move(append));
+}
+
+void LogFollower::OnAppended(TimePoint now, std::uint64_t id) {
+  if (append_ != id) return;
+  append_.reset();
+  appending_.clear();
+  append_not_before_.reset();
+  // The own record is in the log; the next read need not wait for the poll.
+  if (reader_) last_read_sent_ = std::min(*last_read_sent_, now - kPollInterval);
+}
+
+void LogFollower::OnAppendFailed(TimePoint now, std::uint64_t id, LogFailure failure) {
+  if (append_ != id) return;
+  append_.reset();
+  if (failure == LogFailure::kUnreachable) {
+    for (const std::uint64_t sequence : appending_) {
+      const auto it = pending_.find(sequence);
+      if (it != pending_.end()) it->second.sent.reset();
+    }
+  }
+  appending_.clear();
+  append_not_before_ = now + kReaderTimeout;
+}
+
+bool LogFollower::SnapshotDue(TimePoint now) const {
+  const std::uint64_t next = state_.next_offset();
+  const std::uint64_t since = next - std::max<std::uint64_t>(snapshot_base_, 1);
+  const bool rested = !snapshot_seen_ || now - *snapshot_seen_ >= kSnapshotInterval;
+  if (since >= kSnapshotRecords && rested) return true;
+  // The log forgets records: the snapshot must not fall into the older half of what it keeps.
+  const bool forgets = first_retained_ > 1;
+  return forgets && next > first_retained_ &&
+         snapshot_base_ < first_retained_ + (next - first_retained_) / 2;
+}
+
+std::size_t LogFollower::DataCentreRank() const {
+  const auto& all = state_.delegations();
+  return static_cast<std::size_t>(std::distance(all.begin(), all.find(self_.data_centre)));
+}
+
+void LogFollower::WriteSnapshot(TimePoint now) {
+  if (!reader_ || !ready() || LogIsDown(now)) {
+    chunks_to_write_.clear();
+    due_since_.reset();
+    return;
+  }
+  if (chunks_to_write_.empty()) {
+    const bool others = chunk_seen_ && now - *chunk_seen_ < kChunkQuiet;
+    if (!SnapshotDue(now) || others) {
+      due_since_.reset();
+      return;
+    }
+    if (!due_since_) due_since_ = now;
+    const Duration wait = static_cast<int>(DataCentreRank()) * kSnapshotRankDelay;
+    if (now - *due_since_ < wait) return;
+    const std::vector<SnapshotChunk> chunks = MakeSnapshot(state_);
+    chunks_to_write_.assign(chunks.begin(), chunks.end());
+    due_since_.reset();
+    chunk_seen_ = now;
+  }
+  const auto in_flight = std::count_if(pending_.begin(), pending_.end(), [](const auto& entry) {
+    return IsChunk(entry.second.record.body);
+  });
+  for (std::size_t n = static_cast<std::size_t>(in_flight);
+       n < kMaxPendingChunks && !chunks_to_write_.empty(); ++n) {
+    if (!Submit(name_, "snapshot", chunks_to_write_.front())) return;
+    chunks_to_write_.pop_front();
+  }
+}
+
+void LogFollower::Tick(TimePoint now, std::int64_t unix_ms, const Membership& membership,
+                       Outbox& out) {
+  now_ = now;
+  unix_ms_ = unix_ms;
+  state_.RefreshExceptions(unix_ms);
+  UpdatePeers(now, membership);
+  DecideReader(now, membership);
+  UpdateReady(now);
+  CatchUpFromPeers(now, out);
+  WriteSnapshot(now);
+  SendAppends(now);
+  SendReads(now);
+  if (reader_ && (!last_relay_sent_ || now - *last_relay_sent_ >= kRelayInterval)) {
+    Relay(now, state_.next_offset(), out);
+  }
+}
+
+}  // namespace dogwoodport
--- a/packages/platform/include/dogwoodport/platform/log_service.h
+++ b/packages/platform/include/dogwoodport/platform/log_service.h
@@ -8,21 +8,10 @@
 #include <vector>
 
 #include "dogwoodport/core/error.h"
+#include "dogwoodport/core/log_page.h"
 
 namespace dogwoodport {
 
-/// What is known about a failed call.
-enum class LogFailure {
-  /// The log service did not take the request: nothing happened.
-  kUnreachable,
-  /// The request was sent and its answer is missing: it may have taken effect.
-  kAnswerLost,
-  /// The answer makes no sense; the request may have taken effect.
-  kMalformed,
-  /// The offset is below the first retained one.
-  kExpired,
-};
-
 /// A call of the log service failed.
 class LogServiceError : public Error {
  public:
@@ -34,22 +23,6 @@
   LogFailure failure_;
 };
 
-/// One record of the log.
-struct LogRecord {
-  std::uint64_t offset = 0;
-  std::string data;
-
-  friend bool operator==(const LogRecord&, const LogRecord&) = default;
-};
-
-/// Answer of `Read`. Offsets may have holes; the reader checks that they follow one another.
-struct LogPage {
-  std::uint64_t first_retained = 0;
-  /// Offset that the next appended record gets.
-  std::uint64_t next = 0;
-  std::vector<LogRecord> records;
-};
-
 /// Whether the platform has an instance as live.
 enum class ListedState { kLive, kLeaving };
 
--- a/packages/platform/src/http_log_service.cc
+++ b/packages/platform/src/http_log_service.cc
@@ -121,7 +121,6 @@
 
 std::uint64_t HttpLogService::FirstRetained() {
   // A read that asks for nothing from the far end returns the bounds whatever is retained.
-  constexpr std::uint64_t kFarEnd = std::numeric_limits<std::int64_t>::max();
   return Read(kFarEnd, 0).first_retained;
 }
 
--- a/standin/src/log_server.cc
+++ b/standin/src/log_server.cc
@@ -168,7 +168,7 @@
       if (key == "from") from = std::stoull(value);
       if (key == "max") {
         max = static_cast<std::uint32_t>(
-            std::min<unsigned long>(std::stoul(value), kMaxRecordsPerRead));
+            std::min<std::uint64_t>(std::stoul(value), kMaxRecordsPerRead));
       }
     }
     MemoryLogService& log = Log(name);
--- /dev/null
+++ b/tests/core/unit-log_follower.cpp
@@ -0,0 +1,299 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "dogwoodport/standin/state_cluster.h"
+
+namespace dogwoodport {
+namespace {
+
+using standin::SmallDocument;
+using standin::StateCluster;
+using standin::StateClusterSettings;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+StateClusterSettings Hooghly() {
+  StateClusterSettings settings;
+  settings.data_centres = {{"barasat", 3}, {"bowbazar", 3}, {"howrah", 3}, {"serampore", 2}};
+  return settings;
+}
+
+nlohmann::json DocumentWithRate(double rate) {
+  nlohmann::json document = SmallDocument(Hooghly());
+  document["defaults"]["rate"] = rate;
+  return document;
+}
+
+/// A cluster in which all instances are ready and hold configuration version 1.
+struct Started {
+  explicit Started(StateClusterSettings settings = Hooghly()) : cluster(settings) {
+    cluster.Bootstrap();
+    cluster.RunFor(seconds(3));
+    for (const auto& node : cluster.nodes()) {
+      INFO(node.name);
+      REQUIRE(node.follower->ready());
+      REQUIRE(node.follower->state().config()->version == 1);
+    }
+  }
+
+  /// Runs until all hold `version`, at most `bound`, and returns how long it took.
+  Duration Await(std::uint64_t version, Duration bound = seconds(60)) {
+    const TimePoint start = cluster.now();
+    while (cluster.now() - start < bound && !AllHold(version)) cluster.RunFor(milliseconds(10));
+    return cluster.now() - start;
+  }
+
+  bool AllHold(std::uint64_t version) {
+    auto& nodes = cluster.nodes();
+    return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+      return !node.alive || node.follower->state().config()->version == version;
+    });
+  }
+
+  void CheckEqualStates() {
+    const auto& first = cluster.nodes().front().follower->state();
+    for (const auto& node : cluster.nodes()) {
+      INFO(node.name);
+      CHECK_FALSE(node.went_back);
+      if (!node.alive) continue;
+      CHECK(node.follower->state().Digest() == first.Digest());
+    }
+  }
+
+  int Readers(const std::string& data_centre) {
+    int readers = 0;
+    for (const auto& node : cluster.nodes()) {
+      const bool counts = node.alive && node.data_centre == data_centre;
+      readers += counts && node.follower->is_reader() ? 1 : 0;
+    }
+    return readers;
+  }
+
+  StateCluster cluster;
+};
+
+}  // namespace
+
+TEST_CASE("a change is in force everywhere within 3 s") {
+  StateClusterSettings settings = Hooghly();
+  settings.message_loss = GENERATE(0.0, 0.1);
+  Started run(settings);
+  SECTION("with a healthy log") {}
+  SECTION("with a log whose answers take 2 s") {
+    // Guards against reads that wait for one another: each would add the whole delay.
+    run.cluster.log().SetFaults({false, seconds(2), 0});
+  }
+  run.cluster.Publish("asha", ConfigChange{1, DocumentWithRate(50)});
+  CHECK(run.Await(2) <= seconds(3));
+  run.CheckEqualStates();
+}
+
+TEST_CASE("one instance reads the log for its data centre") {
+  Started run;
+  for (const char* name : {"barasat", "bowbazar", "howrah", "serampore"}) {
+    CHECK(run.Readers(name) == 1);
+  }
+  SECTION("another takes over when the coordinator is lost") {
+    run.cluster.Kill("howrah-1");
+    run.cluster.RunFor(seconds(1));
+    CHECK(run.Readers("howrah") == 1);
+    run.cluster.Publish("asha", ConfigChange{1, DocumentWithRate(50)});
+    CHECK(run.Await(2) <= seconds(3));
+    SECTION("and its restarted process is a new member that does not coordinate") {
+      run.cluster.Restart("howrah-1");
+      run.cluster.RunFor(seconds(3));
+      CHECK(run.cluster.node("howrah-1").follower->ready());
+      CHECK_FALSE(run.cluster.node("howrah-1").membership->is_coordinator());
+      CHECK(run.Readers("howrah") == 1);
+    }
+  }
+}
+
+TEST_CASE("the log is down") {
+  Started run;
+  run.cluster.log().SetFaults({true, Duration{0}, 0});
+  run.cluster.RunFor(seconds(20));
+  SECTION("instances stay ready with what they have") {
+    for (const auto& node : run.cluster.nodes()) CHECK(node.follower->ready());
+  }
+  SECTION("a new instance gets the state from the others") {
+    // Guards against instances that cannot be replaced while the log is down.
+    run.cluster.Restart("howrah-2");
+    run.cluster.RunFor(seconds(3));
+    CHECK(run.cluster.node("howrah-2").follower->ready());
+    CHECK(run.cluster.node("howrah-2").follower->state().config()->version == 1);
+  }
+  SECTION("a write waits and is folded once when the log is back") {
+    auto& writer = run.cluster.node("barasat-2");
+    REQUIRE(writer.follower->Submit("asha", "more stock", ConfigChange{1, DocumentWithRate(50)}));
+    run.cluster.RunFor(seconds(10));
+    CHECK(writer.outcomes.empty());
+    run.cluster.log().SetFaults({});
+    CHECK(run.Await(2) <= seconds(3));
+    run.cluster.RunFor(seconds(5));
+    REQUIRE(writer.outcomes.size() == 1);
+    CHECK(writer.outcomes[0].result->outcome == ApplyOutcome::kApplied);
+    run.CheckEqualStates();
+  }
+  SECTION("calls of the log are few") {
+    // Guards against all instances trying the log at full rate. Bound: four readers at one call in
+    // 2 s, and seven others at the probe interval, with a margin of one call each.
+    const std::uint64_t before = run.cluster.log_calls();
+    run.cluster.RunFor(seconds(20));
+    CHECK(run.cluster.log_calls() - before <= 11 * (20 / 2 + 1));
+  }
+}
+
+TEST_CASE("a data centre is cut off from the log only") {
+  // Guards against an instance that waits for the log although its peers have the records.
+  Started run;
+  run.cluster.SetLogReachable("howrah", false);
+  run.cluster.RunFor(seconds(5));
+  run.cluster.Publish("asha", ConfigChange{1, DocumentWithRate(50)});
+  CHECK(run.Await(2) <= seconds(3));
+  run.CheckEqualStates();
+}
+
+TEST_CASE("only the coordinator's data centre is partitioned, then returns") {
+  Started run;
+  run.cluster.SetPartitioned("howrah", true);
+  run.cluster.SetLogReachable("howrah", false);
+  run.cluster.Publish("asha", ConfigChange{1, DocumentWithRate(50)});
+  run.cluster.RunFor(seconds(60));
+  CHECK(run.cluster.Behind(run.cluster.node("barasat-1").highest_offset).size() == 3);
+  run.cluster.SetPartitioned("howrah", false);
+  run.cluster.SetLogReachable("howrah", true);
+  CHECK(run.Await(2) <= seconds(3));
+  run.CheckEqualStates();
+}
+
+TEST_CASE("an append whose answer was lost is folded once") {
+  Started run;
+  run.cluster.log().SetFaults({false, Duration{0}, 3});
+  auto& writer = run.cluster.node("barasat-3");
+  REQUIRE(writer.follower->Submit("asha", "r",
+                                  TargetChange{"khata-howrah", 0, TargetState::kDraining}));
+  run.cluster.RunFor(seconds(10));
+  REQUIRE(writer.outcomes.size() == 1);
+  CHECK(writer.outcomes[0].result->outcome == ApplyOutcome::kApplied);
+  CHECK(writer.follower->pending_writes() == 0);
+  const auto target = writer.follower->state().target(TargetId::FromName("khata-howrah"));
+  CHECK(target.version == 1);
+  run.CheckEqualStates();
+}
+
+TEST_CASE("two racing operators: the first in the log wins everywhere") {
+  Started run;
+  auto& first = run.cluster.node("barasat-1");
+  auto& second = run.cluster.node("serampore-2");
+  first.follower->Submit("asha", "more", ConfigChange{1, DocumentWithRate(50)});
+  second.follower->Submit("ravi", "less", ConfigChange{1, DocumentWithRate(20)});
+  run.cluster.RunFor(seconds(3));
+  REQUIRE(first.outcomes.size() == 1);
+  REQUIRE(second.outcomes.size() == 1);
+  const bool first_won = first.outcomes[0].result->outcome == ApplyOutcome::kApplied;
+  const auto& loser = first_won ? second : first;
+  CHECK(loser.outcomes[0].result->outcome == ApplyOutcome::kStale);
+  CHECK(loser.outcomes[0].result->detail == "expected version 1, current is 2");
+  CHECK(first.follower->state().config()->defaults.rate == (first_won ? 50 : 20));
+  run.CheckEqualStates();
+}
+
+TEST_CASE("the log forgets records that a reader lacks") {
+  // Guards against a reader that waits for records which never come back.
+  Started run;
+  run.cluster.SetPartitioned("howrah", true);
+  run.cluster.SetLogReachable("howrah", false);
+  run.cluster.RunFor(seconds(2));
+  run.cluster.log().SetRetained(200);
+  std::uint64_t version = 1;
+  for (int n = 0; n < 400; ++n) {
+    run.cluster.Publish("asha", ConfigChange{version, DocumentWithRate(1 + n)});
+    ++version;
+    run.cluster.RunFor(milliseconds(50));
+  }
+  run.cluster.RunFor(seconds(15));
+  SECTION("and its peers have them") { run.cluster.SetPartitioned("howrah", false); }
+  SECTION("and no peer is reachable: a snapshot in the log replaces them") {}
+  run.cluster.SetLogReachable("howrah", true);
+  run.cluster.RunFor(seconds(10));
+  CHECK(run.AllHold(version));
+  run.CheckEqualStates();
+}
+
+TEST_CASE("all instances restart after the log forgot its beginning") {
+  // Guards against a state that lives only in the instances: they may all be replaced at any time.
+  Started run;
+  run.cluster.log().SetRetained(300);
+  std::uint64_t version = 1;
+  for (int n = 0; n < 500; ++n) {
+    run.cluster.Publish("asha", ConfigChange{version, DocumentWithRate(1 + n)});
+    ++version;
+    run.cluster.RunFor(milliseconds(50));
+  }
+  run.cluster.RunFor(seconds(20));
+  REQUIRE(run.cluster.log().FirstRetained() > 1);
+  for (auto& node : run.cluster.nodes()) run.cluster.Restart(node.name);
+  run.cluster.RunFor(seconds(15));
+  for (const auto& node : run.cluster.nodes()) {
+    INFO(node.name << ": " << node.follower->fault());
+    CHECK(node.follower->ready());
+    CHECK(node.follower->state().config()->version == version);
+  }
+  run.CheckEqualStates();
+}
+
+TEST_CASE("a hole in the log is reported, never skipped") {
+  Started run;
+  run.cluster.SetLogReachable("howrah", false);
+  run.cluster.SetPartitioned("howrah", true);
+  run.cluster.RunFor(seconds(2));
+  const std::uint64_t hole = run.cluster.Publish("asha", ConfigChange{1, DocumentWithRate(50)});
+  run.cluster.Publish("asha", ConfigChange{2, DocumentWithRate(60)});
+  run.cluster.RunFor(seconds(2));
+  run.cluster.log().MakeHole(hole);
+  run.cluster.SetLogReachable("howrah", true);
+  run.cluster.RunFor(seconds(10));
+  auto& reader = run.cluster.node("howrah-1");
+  CHECK(reader.follower->state().next_offset() == hole);
+  CHECK(reader.follower->fault() == "the log has no record at offset " + std::to_string(hole));
+  SECTION("and a peer that folded the record helps") {
+    run.cluster.SetPartitioned("howrah", false);
+    run.cluster.RunFor(seconds(3));
+    CHECK(run.AllHold(3));
+    CHECK(reader.follower->fault().empty());
+    run.CheckEqualStates();
+  }
+}
+
+TEST_CASE("a record of a newer version stops the instance") {
+  // Guards against a state that diverges since one version skips what another acts on.
+  Started run;
+  auto in = nlohmann::json::parse(EncodeRecord(
+      {InstanceId{1}, Incarnation{1}, 1, "new", "", 0, DataCentreChange{"howrah", 0}}));
+  in["type"] = "fleet_merge";
+  run.cluster.log().Append({in.dump()});
+  run.cluster.Publish("asha", ConfigChange{1, DocumentWithRate(50)});
+  run.cluster.RunFor(seconds(5));
+  for (const auto& node : run.cluster.nodes()) {
+    CHECK_FALSE(node.follower->ready());
+    CHECK(node.follower->state().config()->version == 1);
+    CHECK(node.follower->fault().find("unknown record type 'fleet_merge'") != std::string::npos);
+  }
+}
+
+TEST_CASE("a paused instance notices the pause and catches up") {
+  Started run;
+  run.cluster.Pause("howrah-1", seconds(5));
+  run.cluster.Publish("asha", ConfigChange{1, DocumentWithRate(50)});
+  run.cluster.RunFor(seconds(4));
+  CHECK(run.cluster.node("howrah-2").follower->state().config()->version == 2);
+  CHECK(run.cluster.node("howrah-2").follower->is_reader());
+  run.cluster.RunFor(seconds(3));
+  CHECK(run.cluster.node("howrah-1").pauses_noticed == 1);
+  CHECK(run.AllHold(2));
+  CHECK(run.Readers("howrah") == 1);
+  run.CheckEqualStates();
+}
+
+}  // namespace dogwoodport
