--- a/packages/core/include/dogwoodport/core/detail/json_archive.h
+++ b/packages/core/include/dogwoodport/core/detail/json_archive.h
@@ -99,8 +99,7 @@
   nlohmann::json& out_;
 };
 
-/// Decodes the fields of a struct from a JSON object. A missing field throws `FieldError`, a field
-/// that was not named throws `UnknownFieldError` from `Finish`.
+/// Decodes the fields of a struct from a JSON object. `Finish` judges missing and unnamed fields.
 class JsonReader {
  public:
   explicit JsonReader(const nlohmann::json& in) : in_(in) {
@@ -110,7 +109,10 @@
   template <typename T>
   void operator()(const char* name, T& value) {
     const auto it = in_.find(name);
-    if (it == in_.end()) throw FieldError(std::string("missing field ") + name);
+    if (it == in_.end()) {
+      if (missing_.empty()) missing_ = name;
+      return;
+    }
     ++read_;
     try {
       FromJson(*it, value);
@@ -121,14 +123,17 @@
     }
   }
 
-  /// Throws `UnknownFieldError` when the object has fields that were not read.
+  /// Throws `UnknownFieldError` when the object has fields that were not read, even if others are
+  /// missing: a later version may have renamed one. Throws `FieldError` when a field is missing.
   void Finish() const {
     if (read_ != in_.size()) throw UnknownFieldError("the object has fields of another version");
+    if (!missing_.empty()) throw FieldError("missing field " + missing_);
   }
 
  private:
   const nlohmann::json& in_;
   std::size_t read_ = 0;
+  std::string missing_;
 };
 
 template <typename T>
--- a/packages/core/include/dogwoodport/core/snapshot.h
+++ b/packages/core/include/dogwoodport/core/snapshot.h
@@ -15,7 +15,7 @@
 namespace dogwoodport {
 
 /// Bytes of one chunk's payload, well below the usual bounds of a request's body.
-inline constexpr std::size_t kSnapshotChunkBytes = 32 * 1024;
+inline constexpr std::size_t kSnapshotChunkBytes = 32'768;
 /// Chunks of one snapshot: 128 MB, far above the state at the design size.
 inline constexpr std::uint32_t kMaxSnapshotChunks = 4096;
 /// Incomplete snapshots that an assembler keeps; the one with the lowest base goes first.
--- a/packages/core/src/config_reader.cc
+++ b/packages/core/src/config_reader.cc
@@ -140,7 +140,7 @@
                                                std::uint64_t high) {
     const json* value = Find(name);
     if (value == nullptr) return std::nullopt;
-    if (value->is_number_unsigned()) {
+    if (value->is_number_integer() && (value->is_number_unsigned() || *value >= 0)) {
       const auto n = value->get<std::uint64_t>();
       if (n >= low && n <= high) return n;
     }
--- /dev/null
+++ b/tests/core/unit-control_state.cpp
@@ -0,0 +1,334 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "dogwoodport/core/control_state.h"
+#include "dogwoodport/core/snapshot.h"
+
+namespace dogwoodport {
+namespace {
+
+using nlohmann::json;
+
+const ServiceId kKhata = ServiceId::FromName("khata");
+const DataCentreId kHowrah = DataCentreId::FromName("howrah");
+const DataCentreId kBarasat = DataCentreId::FromName("barasat");
+const AccountId kPuja = AccountId::FromName("puja");
+
+SecretConfig Secret(const std::string& key_id) {
+  return {key_id, std::string(16, 'a'), std::string(64, 'b')};
+}
+
+json Document(const std::string& policy = "hold") {
+  json document = json::parse(R"({
+    "data_centres": [{"name": "howrah"}, {"name": "barasat"}],
+    "services": [{"name": "khata", "keyed": true, "shards": 4}],
+    "accounts": [{"name": "puja", "secrets": [{"key_id": "k1"}]}],
+    "targets": [{"name": "khata-1", "service": "khata", "data_centre": "howrah",
+                 "host": "127.0.0.1", "port": 9001}]
+  })");
+  document["services"][0]["on_isolation"] = policy;
+  document["accounts"][0]["secrets"][0]["salt"] = std::string(16, 'a');
+  document["accounts"][0]["secrets"][0]["hash"] = std::string(64, 'b');
+  return document;
+}
+
+/// A state with a writer whose records are numbered on their own.
+struct Fold {
+  explicit Fold(const std::string& policy = "hold") {
+    REQUIRE(Apply(ConfigChange{0, Document(policy)}).outcome == ApplyOutcome::kApplied);
+  }
+
+  ApplyResult Apply(RecordBody body) { return state.Apply(state.next_offset(), Next(body)); }
+
+  Record Next(RecordBody body) {
+    return {InstanceId{1}, Incarnation{1}, ++sequence, "asha", "why", 5, std::move(body)};
+  }
+
+  std::uint64_t Delegate(DataCentreId data_centre, std::uint64_t expected) {
+    const std::uint64_t offset = state.next_offset();
+    const ApplyResult result = Apply(
+        DelegationChange{data_centre, expected, {{InstanceId{7}, Incarnation{1}}}, InstanceId{7}});
+    REQUIRE(result.outcome == ApplyOutcome::kApplied);
+    return offset;
+  }
+
+  std::vector<std::string> ValidKeys() const {
+    std::vector<std::string> keys;
+    for (const auto& secret : state.config()->accounts[0].secrets) keys.push_back(secret.key_id);
+    return keys;
+  }
+
+  ControlState state;
+  std::uint64_t sequence = 0;
+};
+
+}  // namespace
+
+TEST_CASE("records are folded in order only") {
+  Fold fold;
+  const Record record = fold.Next(TargetChange{"khata-1", 0, TargetState::kDraining});
+  CHECK_THROWS_AS(fold.state.Apply(fold.state.next_offset() + 1, record), StateError);
+  CHECK_THROWS_AS(fold.state.Apply(fold.state.next_offset() - 1, record), StateError);
+  CHECK(fold.state.target(TargetId::FromName("khata-1")).version == 0);
+}
+
+TEST_CASE("a stale expected version changes nothing but the audit") {
+  // Guards against the later of two racing operators undoing the first one's change unseen.
+  Fold fold;
+  struct Row {
+    const char* name;
+    RecordBody body;
+  };
+  const std::vector<Row> rows = {
+      {"document", ConfigChange{0, Document()}},
+      {"patch", ConfigPatch{0, json::array()}},
+      {"delegation", DelegationChange{kHowrah, 9, {{InstanceId{7}}}, InstanceId{7}}},
+      {"batch", AssignmentBatch{kHowrah, 9, {{{kKhata, 0}, TargetId{3}, {9, 1}}}}},
+      {"data centre", DataCentreChange{"howrah", 1, DataCentreState::kLost}},
+      {"target", TargetChange{"khata-1", 1, TargetState::kDraining}},
+      {"secret", SecretChange{"puja", 1, SecretAction::kWithdraw, {"k1"}}},
+      {"quarantine", QuarantineChange{5, 1}},
+      {"split", ShardSplit{kKhata, 5, 1}}};
+  for (const Row& row : rows) {
+    INFO(row.name);
+    CHECK(fold.Apply(row.body).outcome == ApplyOutcome::kStale);
+    CHECK(fold.state.audit().back().outcome == ApplyOutcome::kStale);
+  }
+  CHECK(fold.state.config()->version == 1);
+  CHECK(fold.state.delegations().empty());
+  CHECK(fold.state.assignments().empty());
+  CHECK(fold.ValidKeys() == std::vector<std::string>{"k1"});
+}
+
+TEST_CASE("a repeated record has one effect") {
+  Fold fold;
+  const Record first = fold.Next(TargetChange{"khata-1", 0, TargetState::kDraining});
+  const Record second = fold.Next(TargetChange{"khata-1", 1, TargetState::kInService});
+  auto apply = [&](const Record& record) {
+    return fold.state.Apply(fold.state.next_offset(), record).outcome;
+  };
+  CHECK(apply(first) == ApplyOutcome::kApplied);
+  CHECK(apply(second) == ApplyOutcome::kApplied);
+  CHECK(apply(first) == ApplyOutcome::kRepeated);
+  SECTION("an earlier record that arrives after a later one is not a repeat") {
+    const Record early = fold.Next(QuarantineChange{1, 0});
+    const Record late = fold.Next(QuarantineChange{2, 0});
+    CHECK(apply(late) == ApplyOutcome::kApplied);
+    CHECK(apply(early) == ApplyOutcome::kApplied);
+    CHECK(apply(early) == ApplyOutcome::kRepeated);
+  }
+  SECTION("records of a process that was replaced are stale") {
+    Record other = fold.Next(QuarantineChange{1, 0});
+    other.incarnation = Incarnation{2};
+    other.sequence = 1;
+    CHECK(apply(other) == ApplyOutcome::kApplied);
+    CHECK(apply(fold.Next(QuarantineChange{2, 0})) == ApplyOutcome::kStale);
+  }
+}
+
+TEST_CASE("an invalid document is refused as a whole") {
+  Fold fold;
+  json document = Document();
+  document["targets"][0]["port"] = 0;
+  document["defaults"]["rate"] = 7;
+  CHECK(fold.Apply(ConfigChange{1, document}).outcome == ApplyOutcome::kRefused);
+  CHECK(fold.state.config()->defaults.rate == 100);
+  SECTION("also when it changes the number of shards") {
+    document = Document();
+    document["services"][0]["shards"] = 8;
+    CHECK(fold.Apply(ConfigChange{1, document}).outcome == ApplyOutcome::kRefused);
+  }
+}
+
+TEST_CASE("a patch changes a part of the document") {
+  Fold fold;
+  const auto patch = [](const char* op, const char* path, json value) {
+    return json::array({{{"op", op}, {"path", path}, {"value", std::move(value)}}});
+  };
+  CHECK(fold.Apply(ConfigPatch{1, patch("replace", "/targets/0/port", 9002)}).outcome ==
+        ApplyOutcome::kApplied);
+  CHECK(fold.state.config()->targets[0].port == 9002);
+  CHECK(fold.state.config()->version == 2);
+  CHECK(fold.Apply(ConfigPatch{2, patch("replace", "/targets/9/port", 1)}).outcome ==
+        ApplyOutcome::kRefused);
+  // Copies of the document into itself would double its size with each operation.
+  const json copy = json::array({{{"op", "copy"}, {"from", ""}, {"path", "/a"}}});
+  CHECK(fold.Apply(ConfigPatch{2, copy}).outcome == ApplyOutcome::kRefused);
+  CHECK(fold.Apply(ConfigPatch{2, 7}).outcome == ApplyOutcome::kRefused);
+}
+
+TEST_CASE("secrets") {
+  Fold fold;
+  REQUIRE(fold.Apply(SecretChange{"puja", 0, SecretAction::kAdd, Secret("k2")}).outcome ==
+          ApplyOutcome::kApplied);
+  CHECK(fold.ValidKeys() == std::vector<std::string>{"k1", "k2"});
+  SECTION("two are valid at once, not three") {
+    CHECK(fold.Apply(SecretChange{"puja", 1, SecretAction::kAdd, Secret("k3")}).outcome ==
+          ApplyOutcome::kRefused);
+  }
+  SECTION("a withdrawn one stays withdrawn when an older document is published again") {
+    CHECK(fold.Apply(SecretChange{"puja", 1, SecretAction::kWithdraw, {"k1"}}).outcome ==
+          ApplyOutcome::kApplied);
+    CHECK(fold.Apply(ConfigChange{1, Document()}).outcome == ApplyOutcome::kApplied);
+    CHECK(fold.ValidKeys() == std::vector<std::string>{"k2"});
+    CHECK(fold.Apply(SecretChange{"puja", 2, SecretAction::kAdd, Secret("k1")}).outcome ==
+          ApplyOutcome::kRefused);
+  }
+  SECTION("an added one survives a document made before it") {
+    CHECK(fold.Apply(ConfigChange{1, Document()}).outcome == ApplyOutcome::kApplied);
+    CHECK(fold.ValidKeys() == std::vector<std::string>{"k1", "k2"});
+  }
+}
+
+TEST_CASE("assignments") {
+  Fold fold(GENERATE("hold", "yield"));
+  const bool yields =
+      std::holds_alternative<YieldOnIsolation>(fold.state.config()->services[0].on_isolation);
+  const std::uint64_t howrah = fold.Delegate(kHowrah, 0);
+  const std::uint64_t barasat = fold.Delegate(kBarasat, 0);
+  const ShardId shard{kKhata, 2};
+  const auto move = [&](DataCentreId home, std::uint64_t delegation, std::uint64_t counter,
+                        TargetId target) {
+    return fold.Apply(AssignmentBatch{home, delegation, {{shard, target, {delegation, counter}}}})
+        .outcome;
+  };
+  REQUIRE(move(kHowrah, howrah, 5, TargetId{1}) == ApplyOutcome::kApplied);
+  SECTION("an older epoch does not replace a newer one") {
+    CHECK(move(kHowrah, howrah, 4, TargetId{2}) == ApplyOutcome::kStale);
+    CHECK(move(kHowrah, howrah, 6, TargetId{2}) == ApplyOutcome::kApplied);
+  }
+  SECTION("a coordinator that was replaced writes no more") {
+    fold.Delegate(kHowrah, howrah);
+    CHECK(move(kHowrah, howrah, 6, TargetId{2}) == ApplyOutcome::kStale);
+  }
+  SECTION("another data centre takes a shard only after its release or the loss of its holder") {
+    // Guards against two owners: a data centre that is silent still serves its keys.
+    CHECK(move(kBarasat, barasat, 1, TargetId{9}) == ApplyOutcome::kStale);
+    SECTION("released") {
+      CHECK(move(kHowrah, howrah, 6, TargetId{}) == ApplyOutcome::kApplied);
+      CHECK(move(kBarasat, barasat, 2, TargetId{9}) == ApplyOutcome::kApplied);
+      CHECK(move(kHowrah, howrah, 7, TargetId{1}) == ApplyOutcome::kStale);
+    }
+    SECTION("withdrawn: it has to release first") {
+      fold.Apply(DataCentreChange{"howrah", 0, DataCentreState::kWithdrawn});
+      CHECK(move(kBarasat, barasat, 2, TargetId{9}) == ApplyOutcome::kStale);
+    }
+    SECTION("lost") {
+      fold.Apply(DataCentreChange{"howrah", 0, DataCentreState::kLost});
+      CHECK(move(kBarasat, barasat, 2, TargetId{9}) == ApplyOutcome::kApplied);
+    }
+    SECTION("yielded") {
+      fold.Apply(DataCentreChange{"howrah", 0, DataCentreState::kYielded});
+      CHECK(move(kBarasat, barasat, 2, TargetId{9}) ==
+            (yields ? ApplyOutcome::kApplied : ApplyOutcome::kStale));
+    }
+  }
+}
+
+TEST_CASE("a delegation names a group with its coordinator") {
+  Fold fold;
+  const Member a{InstanceId{1}, Incarnation{1}};
+  const Member witness{InstanceId{2}, Incarnation{1}, true};
+  struct Row {
+    const char* name;
+    std::vector<Member> members;
+    InstanceId coordinator;
+  };
+  const std::vector<Row> rows = {{"no members", {}, a.id},
+                                 {"member twice", {a, a}, a.id},
+                                 {"coordinator outside", {a}, InstanceId{9}},
+                                 {"coordinator is a witness", {a, witness}, witness.id},
+                                 {"eight members", std::vector<Member>(8, a), a.id}};
+  for (const Row& row : rows) {
+    INFO(row.name);
+    CHECK(fold.Apply(DelegationChange{kHowrah, 0, row.members, row.coordinator}).outcome ==
+          ApplyOutcome::kRefused);
+  }
+  CHECK(fold.Apply(DelegationChange{kHowrah, 0, {a, witness}, a.id}).outcome ==
+        ApplyOutcome::kApplied);
+}
+
+TEST_CASE("the index of a split is never given out twice") {
+  // Guards against an old assignment of an index that would count for another key.
+  Fold fold;
+  fold.Apply(ShardSplit{kKhata, 11, 0, SplitAction::kSplit});
+  fold.Apply(ShardSplit{kKhata, 11, 1, SplitAction::kMerge});
+  fold.Apply(ShardSplit{kKhata, 12, 2, SplitAction::kSplit});
+  REQUIRE(fold.state.splits(kKhata)->splits.size() == 1);
+  CHECK(fold.state.splits(kKhata)->splits[0].index == 5);
+}
+
+TEST_CASE("a malformed record is skipped alike by all, one of another version is not") {
+  Fold fold;
+  const std::uint64_t offset = fold.state.next_offset();
+  CHECK(fold.state.ApplyText(offset, "{").outcome == ApplyOutcome::kRefused);
+  CHECK(fold.state.next_offset() == offset + 1);
+  CHECK_THROWS_AS(
+      fold.state.ApplyText(offset + 1,
+                           EncodeRecord(fold.Next(QuarantineChange{1, 0})).replace(2, 5, "actxr")),
+      UnknownRecordError);
+  CHECK(fold.state.next_offset() == offset + 1);
+}
+
+TEST_CASE("the audit keeps the last 1,000 records") {
+  Fold fold;
+  for (std::uint64_t n = 0; n < 1200; ++n) {
+    fold.Apply(
+        TargetChange{"khata-1", n, n % 2 == 0 ? TargetState::kDraining : TargetState::kInService});
+  }
+  REQUIRE(fold.state.audit().size() == kMaxAuditEntries);
+  const AuditEntry& last = fold.state.audit().back();
+  CHECK(last.offset == fold.state.next_offset() - 1);
+  CHECK(last.what == "target_change khata-1");
+  CHECK(last.from == "draining");
+  CHECK(last.to == "in_service");
+  CHECK(last.actor == "asha");
+  CHECK(last.reason == "why");
+}
+
+TEST_CASE("snapshots") {
+  Fold fold;
+  fold.Delegate(kHowrah, 0);
+  fold.Apply(SecretChange{"puja", 0, SecretAction::kWithdraw, {"k1"}});
+  fold.Apply(ShardSplit{kKhata, 11, 0, SplitAction::kSplit});
+  for (int n = 0; n < 600; ++n) fold.Apply(QuarantineChange{static_cast<std::uint64_t>(n), 0});
+  const auto chunks = MakeSnapshot(fold.state);
+  REQUIRE(chunks.size() > 2);
+  SnapshotAssembler assembler;
+  auto add = [&](const SnapshotChunk& chunk) { return assembler.Add(chunk, 0); };
+
+  SECTION("chunks in any order and repeated make the same state") {
+    for (auto it = chunks.rbegin(); it != chunks.rend(); ++it) {
+      CHECK_FALSE(add(*it));
+      CHECK_FALSE(add(chunks.back()));
+    }
+    const auto state = assembler.TakeLatest();
+    REQUIRE(state);
+    CHECK(state->Digest() == fold.state.Digest());
+    CHECK(state->config()->version == 1);
+    CHECK(state->config()->accounts[0].secrets.empty());
+  }
+  SECTION("a damaged or half-written one is refused and the one before it used") {
+    for (const auto& chunk : chunks) CHECK_FALSE(add(chunk));
+    fold.Apply(QuarantineChange{9999, 0});
+    auto later = MakeSnapshot(fold.state);
+    SECTION("damaged") { later[1].payload[100] ^= 1; }
+    SECTION("half-written") { later.pop_back(); }
+    SECTION("another base offset") {
+      for (auto& chunk : later) ++chunk.base_offset;
+    }
+    bool fault = false;
+    for (const auto& chunk : later) fault |= add(chunk).has_value();
+    CHECK(fault == (later.size() == later[0].count));
+    CHECK(assembler.latest_base() == chunks[0].base_offset);
+  }
+  SECTION("chunks with impossible numbers are refused") {
+    SnapshotChunk chunk = chunks[0];
+    chunk.index = chunk.count;
+    CHECK(add(chunk));
+    chunk.count = kMaxSnapshotChunks + 1;
+    CHECK(add(chunk));
+  }
+}
+
+}  // namespace dogwoodport
