--- a/packages/core/include/dogwoodport/core/message.h
+++ b/packages/core/include/dogwoodport/core/message.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "dogwoodport/core/forward_messages.h"
 #include "dogwoodport/core/limit_messages.h"
 #include "dogwoodport/core/membership_messages.h"
 #include "dogwoodport/core/order_messages.h"
@@ -16,9 +17,9 @@
 namespace dogwoodport {
 
 /// Any message between two instances.
-using Message =
-    detail::ConcatToVariant<detail::TypeList<std::monostate>, MembershipMessages, StateMessages,
-                            OwnershipMessages, LimitMessages, OrderMessages, RoutingMessages>::Type;
+using Message = detail::ConcatToVariant<detail::TypeList<std::monostate>, MembershipMessages,
+                                        StateMessages, OwnershipMessages, LimitMessages,
+                                        OrderMessages, RoutingMessages, ForwardMessages>::Type;
 
 /// A message and its receiver.
 struct Envelope {
