--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -79,9 +79,10 @@
     if (request == nullptr) return;
     const auto it = pending_.find(request->forward_id);
     if (it == pending_.end() || it->second.forwarded_to != to) return;
-    Reply reply = MakeRefusal(503, "instance_unreachable", "no instance of the key's data centre "
-                              "can be reached", RunState::kNo, it->second.request_id,
-                              Duration(1'000'000));
+    Reply reply = MakeRefusal(503, "instance_unreachable",
+                              "no instance of the key's data centre "
+                              "can be reached",
+                              RunState::kNo, it->second.request_id, Duration(1'000'000));
     ready_.push_back({it->first, Finish{std::move(reply)}});
     pending_.erase(it);
   }
@@ -94,8 +95,8 @@
     for (auto it = pending_.begin(); it != pending_.end();) {
       const auto at = it++;
       if (!at->second.forwarded_to || now < at->second.deadline + kForwardGrace) continue;
-      Reply reply = MakeRefusal(504, "timeout", "no answer before the deadline",
-                                RunState::kUnknown, at->second.request_id);
+      Reply reply = MakeRefusal(504, "timeout", "no answer before the deadline", RunState::kUnknown,
+                                at->second.request_id);
       ready_.push_back({at->first, Finish{std::move(reply)}});
       pending_.erase(at);
     }
@@ -177,8 +178,7 @@
   const TargetConfig* Choose(const Pending& pending) const {
     const TargetConfig* best = nullptr;
     std::uint64_t best_weight = 0;
-    const std::string& key =
-        pending.match.route->key ? pending.match.key : pending.request_id;
+    const std::string& key = pending.match.route->key ? pending.match.key : pending.request_id;
     for (const TargetConfig& target : pending.config->targets) {
       if (target.service != pending.match.service->id) continue;
       const std::uint64_t weight = HashKey(key, target.id.value);
@@ -275,9 +275,7 @@
                        AttemptOutcome outcome) {
   return impl_->OnAttempt(now, handle, attempt, std::move(outcome));
 }
-void Router::OnCallerLeft(TimePoint now, RequestHandle handle) {
-  impl_->OnCallerLeft(now, handle);
-}
+void Router::OnCallerLeft(TimePoint now, RequestHandle handle) { impl_->OnCallerLeft(now, handle); }
 void Router::OnMessage(TimePoint now, InstanceId from, Incarnation /*incarnation*/,
                        Message message) {
   impl_->OnMessage(now, from, std::move(message));
--- a/packages/daemon/main/dogwoodd.cc
+++ b/packages/daemon/main/dogwoodd.cc
@@ -1,1 +1,64 @@
-int main() { return 0; }
+// The daemon of one instance: dogwoodd --config FILE. Exit status 2 means invalid arguments or
+// settings, 1 a failure while starting.
+#include <signal.h>
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "dogwoodport/daemon/json_log.h"
+#include "dogwoodport/daemon/server.h"
+#include "dogwoodport/daemon/settings.h"
+
+namespace {
+
+/// Blocks the signals before any thread starts, so that only `sigwait` receives them.
+sigset_t BlockSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int Run(const dogwoodport::Settings& settings) {
+  const sigset_t signals = BlockSignals();
+  const dogwoodport::JsonLog log(settings.instance, settings.data_centre);
+  try {
+    dogwoodport::Server server(settings, log);
+    int signal = 0;
+    sigwait(&signals, &signal);
+    server.Shutdown();
+    return 0;
+  } catch (const dogwoodport::Error& e) {
+    log.Error("not_started", {{"error", dogwoodport::DescribeNested(e)}});
+    return 1;
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("dogwoodd", "Routes requests to the targets that own their keys");
+  options.add_options()("config", "settings file (JSON)", cxxopts::value<std::string>())(
+      "help", "print this text");
+  dogwoodport::Settings settings;
+  try {
+    const auto args = options.parse(argc, argv);
+    if (args.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    if (args.count("config") == 0) throw dogwoodport::SettingsError("--config FILE is required");
+    if (!args.unmatched().empty()) {
+      throw dogwoodport::SettingsError("unexpected argument " + args.unmatched().front());
+    }
+    settings = dogwoodport::LoadSettings(args["config"].as<std::string>());
+  } catch (const std::exception& e) {
+    std::cerr << "dogwoodd: " << e.what() << "\n";
+    return 2;
+  }
+  dogwoodport::InitJsonLog(argv[0]);
+  return Run(settings);
+}
