--- /dev/null
+++ b/packages/core/src/slot_ledger.cc
@@ -0,0 +1,279 @@
+#include "dogwoodport/core/slot_ledger.h"
+
+#include <algorithm>
+
+namespace dogwoodport {
+namespace {
+
+// Borrowing again sooner would ask twice within one round trip inside a data centre.
+constexpr Duration kBorrowInterval{2'000};
+constexpr std::size_t kNoRow = static_cast<std::size_t>(-1);
+
+Duration WithDrift(Duration d) {
+  return Duration{static_cast<Duration::rep>(static_cast<double>(d.count()) * kClockDrift)};
+}
+
+std::uint64_t Weight(TargetId target, InstanceId member) noexcept {
+  std::uint64_t h = (target.value ^ (member.value * 0x9E3779B97F4A7C15ULL));
+  h ^= h >> 31;
+  h *= 0xBF58476D1CE4E5B9ULL;
+  return h ^ (h >> 29);
+}
+
+}  // namespace
+
+std::size_t SlotLedger::AddRow(TargetId target, Resource resource, std::uint32_t total) {
+  const auto [it, added] = index_.try_emplace(target, std::array<std::size_t, 2>{kNoRow, kNoRow});
+  std::size_t& row = it->second[static_cast<std::size_t>(resource)];
+  if (row == kNoRow) {
+    row = rows_.size();
+    rows_.push_back(Row{.target = target, .resource = resource});
+    for (Division& division : divisions_) AddRank(division, target);
+  }
+  rows_[row].total = total;
+  return row;
+}
+
+std::optional<std::size_t> SlotLedger::FindRow(TargetId target, Resource resource) const {
+  const auto it = index_.find(target);
+  if (it == index_.end()) return std::nullopt;
+  const std::size_t row = it->second[static_cast<std::size_t>(resource)];
+  return row == kNoRow ? std::nullopt : std::optional(row);
+}
+
+void SlotLedger::OnDelegation(TimePoint now, const Delegation& delegation,
+                              DelegationHistory history) {
+  if (delegation.offset < delegation_) return;
+  delegation_ = delegation.offset;
+  const TimePoint settled = now + WithDrift(settings_.permit_duration + settings_.max_hold);
+  if (divisions_.empty() && history == DelegationHistory::kReplacesEarlier) {
+    // A new instance uses nothing of its own while members of the earlier delegation may.
+    Division nothing{.until = settled};
+    for (const Row& row : rows_) AddRank(nothing, row.target);
+    divisions_.push_back(std::move(nothing));
+  } else if (!divisions_.empty()) {
+    divisions_.back().until = settled;
+  }
+  Division division{.members = {}, .self_is_member = false, .until = TimePoint::max()};
+  for (const Member& member : delegation.members) {
+    if (member.witness) continue;
+    division.members.push_back(member.id);
+    if (member.id == settings_.self && member.incarnation == settings_.incarnation) {
+      division.self_is_member = true;
+    }
+  }
+  for (const Row& row : rows_) AddRank(division, row.target);
+  divisions_.push_back(std::move(division));
+}
+
+void SlotLedger::AddRank(Division& division, TargetId target) const {
+  const std::uint64_t own = Weight(target, settings_.self);
+  std::uint32_t rank = 0;
+  for (const InstanceId member : division.members) {
+    const std::uint64_t weight = Weight(target, member);
+    if (weight > own || (weight == own && member.value < settings_.self.value)) ++rank;
+  }
+  division.ranks.push_back(rank);
+}
+
+std::uint32_t SlotLedger::ShareUnder(const Division& division, std::size_t row,
+                                     std::uint32_t limit) const noexcept {
+  if (!division.self_is_member) return 0;
+  const std::uint32_t units = std::min(limit, rows_[row].total);
+  const std::uint32_t rank = division.ranks[row];
+  // Unit k belongs to the member of rank k modulo the number of members.
+  if (units <= rank) return 0;
+  return (units - rank - 1) / static_cast<std::uint32_t>(division.members.size()) + 1;
+}
+
+std::uint32_t SlotLedger::Share(TimePoint now, std::size_t row,
+                                std::uint32_t limit) const noexcept {
+  if (divisions_.empty() || now >= permit_until_) return 0;
+  std::uint32_t share = UINT32_MAX;
+  for (const Division& division : divisions_) {
+    if (now >= division.until) continue;
+    share = std::min(share, ShareUnder(division, row, limit));
+  }
+  return share;
+}
+
+std::uint32_t SlotLedger::OwnFree(TimePoint now, const Row& row,
+                                  std::uint32_t limit) const noexcept {
+  const std::uint32_t share = Share(now, static_cast<std::size_t>(&row - rows_.data()), limit);
+  std::uint32_t used = row.own_in_use;
+  for (const LoanOut& loan : row.out) used += now < loan.expires ? 1 : 0;
+  return share > used ? share - used : 0;
+}
+
+std::uint32_t SlotLedger::Free(TimePoint now, std::size_t row, std::uint32_t limit) const noexcept {
+  std::uint32_t n = OwnFree(now, rows_[row], limit);
+  for (const LoanIn& loan : rows_[row].in) n += !loan.busy && now < loan.expires ? 1 : 0;
+  return n;
+}
+
+std::uint32_t SlotLedger::InUse(std::size_t row) const noexcept {
+  std::uint32_t n = rows_[row].own_in_use;
+  for (const LoanIn& loan : rows_[row].in) n += loan.busy ? 1 : 0;
+  return n;
+}
+
+std::uint32_t SlotLedger::Claimed(TimePoint now, std::size_t row) const noexcept {
+  return InUse(row) + Free(now, row, rows_[row].total);
+}
+
+std::optional<SlotHold> SlotLedger::Acquire(TimePoint now, std::size_t row, std::uint32_t limit) {
+  Row& r = rows_[row];
+  if (OwnFree(now, r, limit) > 0) {
+    ++r.own_in_use;
+    return SlotHold{.until = now + settings_.max_hold};
+  }
+  for (LoanIn& loan : r.in) {
+    if (loan.busy || now >= loan.expires) continue;
+    loan.busy = true;
+    return SlotHold{.loan = loan.number, .lender = loan.lender, .until = loan.expires};
+  }
+  return std::nullopt;
+}
+
+void SlotLedger::Release(TimePoint now, std::size_t row, const SlotHold& hold) {
+  Row& r = rows_[row];
+  if (hold.loan == 0) {
+    if (r.own_in_use > 0) --r.own_in_use;
+    return;
+  }
+  for (LoanIn& loan : r.in) {
+    if (loan.number != hold.loan || loan.lender != hold.lender) continue;
+    loan.busy = false;
+    loan.idle_since = now;
+  }
+}
+
+void SlotLedger::OnPause(TimePoint now) {
+  for (Row& row : rows_) {
+    for (LoanIn& loan : row.in) {
+      if (!loan.busy) loan.expires = std::min(loan.expires, now);
+    }
+  }
+}
+
+void SlotLedger::Borrow(TimePoint now, std::size_t row, Outbox& out) {
+  Row& r = rows_[row];
+  if (divisions_.empty() || (r.sequence != 0 && now < r.requested + kBorrowInterval)) return;
+  const std::vector<InstanceId>& members = divisions_.back().members;
+  if (members.empty()) return;
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    const InstanceId peer = members[r.next_peer++ % members.size()];
+    if (peer == settings_.self) continue;
+    r.sequence = next_sequence_++;
+    r.requested = now;
+    out.Send(peer, SlotRequest{.target = r.target,
+                               .resource = static_cast<std::uint8_t>(r.resource),
+                               .borrower = settings_.incarnation,
+                               .sequence = r.sequence});
+    return;
+  }
+}
+
+void SlotLedger::OnRequest(TimePoint now, InstanceId from, const SlotRequest& request,
+                           std::uint32_t limit, Outbox& out) {
+  const auto index = FindRow(request.target, static_cast<Resource>(request.resource & 1));
+  if (!index || from == settings_.self) return;
+  Row& r = rows_[*index];
+  const bool known = std::any_of(r.out.begin(), r.out.end(), [&](const LoanOut& loan) {
+    return loan.borrower == from && loan.incarnation == request.borrower &&
+           loan.sequence == request.sequence;
+  });
+  // A duplicated request must not take a second unit.
+  if (known || OwnFree(now, r, limit) == 0) return;
+  if (r.in.empty() && r.out.empty()) active_.push_back(*index);
+  r.out.push_back(LoanOut{.borrower = from,
+                          .incarnation = request.borrower,
+                          .sequence = request.sequence,
+                          .number = next_loan_++,
+                          .expires = now + WithDrift(settings_.max_hold),
+                          .next_query = now + settings_.query_interval});
+  out.Send(from, SlotLoan{.target = r.target,
+                          .resource = request.resource,
+                          .borrower = request.borrower,
+                          .sequence = request.sequence,
+                          .lender = settings_.incarnation,
+                          .number = r.out.back().number});
+}
+
+void SlotLedger::SendReturn(const Row& row, InstanceId lender, Incarnation incarnation,
+                            std::uint64_t number, Outbox& out) const {
+  out.Send(lender, SlotReturn{.target = row.target,
+                              .resource = static_cast<std::uint8_t>(row.resource),
+                              .borrower = settings_.incarnation,
+                              .lender = incarnation,
+                              .number = number});
+}
+
+void SlotLedger::OnLoan(TimePoint now, InstanceId from, const SlotLoan& loan, Outbox& out) {
+  // An earlier incarnation's attempt may still run at the target: only expiry ends its loan.
+  if (loan.borrower != settings_.incarnation) return;
+  const auto index = FindRow(loan.target, static_cast<Resource>(loan.resource & 1));
+  if (!index) return;
+  Row& r = rows_[*index];
+  for (const LoanIn& held : r.in) {
+    const bool same = held.incarnation == loan.lender && held.number == loan.number;
+    if (held.lender == from && same) return;
+  }
+  auto& [incarnation, highest] = seen_[from];
+  if (loan.lender.value < incarnation.value) return;
+  if (loan.lender.value > incarnation.value) highest = 0;
+  incarnation = loan.lender;
+  const bool fresh = loan.number > highest;
+  highest = std::max(highest, loan.number);
+  // The duration counts from this instance's request, so an answer to an unknown one has no expiry.
+  if (!fresh || loan.sequence != r.sequence) {
+    SendReturn(r, from, loan.lender, loan.number, out);
+    return;
+  }
+  if (r.in.empty() && r.out.empty()) active_.push_back(*index);
+  r.sequence = 0;
+  r.in.push_back(LoanIn{.lender = from,
+                        .incarnation = loan.lender,
+                        .number = loan.number,
+                        .expires = r.requested + settings_.max_hold,
+                        .idle_since = now});
+}
+
+void SlotLedger::OnReturn(InstanceId from, const SlotReturn& message) {
+  const auto index = FindRow(message.target, static_cast<Resource>(message.resource & 1));
+  if (!index || message.lender != settings_.incarnation) return;
+  std::erase_if(rows_[*index].out, [&](const LoanOut& loan) {
+    return loan.borrower == from && loan.incarnation == message.borrower &&
+           loan.number == message.number;
+  });
+}
+
+void SlotLedger::TickRow(TimePoint now, Row& row, Outbox& out) {
+  std::erase_if(row.in, [&](const LoanIn& loan) {
+    if (loan.busy) return false;
+    if (now >= loan.expires) return true;
+    if (now < loan.idle_since + settings_.idle_return) return false;
+    SendReturn(row, loan.lender, loan.incarnation, loan.number, out);
+    return true;
+  });
+  std::erase_if(row.out, [&](const LoanOut& loan) { return now >= loan.expires; });
+  for (LoanOut& loan : row.out) {
+    if (now < loan.next_query) continue;
+    loan.next_query = now + settings_.query_interval;
+    out.Send(loan.borrower, SlotLoan{.target = row.target,
+                                     .resource = static_cast<std::uint8_t>(row.resource),
+                                     .borrower = loan.incarnation,
+                                     .sequence = loan.sequence,
+                                     .lender = settings_.incarnation,
+                                     .number = loan.number});
+  }
+}
+
+void SlotLedger::Tick(TimePoint now, Outbox& out) {
+  std::erase_if(divisions_, [&](const Division& division) { return now >= division.until; });
+  for (const std::size_t row : active_) TickRow(now, rows_[row], out);
+  std::erase_if(active_,
+                [&](std::size_t row) { return rows_[row].in.empty() && rows_[row].out.empty(); });
+}
+
+}  // namespace dogwoodport
--- /dev/null
+++ b/packages/core/src/slow_group_detector.cc
@@ -0,0 +1,166 @@
+#include "dogwoodport/core/slow_group_detector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dogwoodport {
+namespace {
+
+// Counts are halved at this number, so that a group that no longer exists is forgotten.
+constexpr std::uint16_t kMaxEvents = 16;
+// A single answer counts at most this many times the mean, since a frozen client or a long query
+// says little about the target.
+constexpr double kMaxRatio = 6.0;
+
+// Evidence of an instance about a target is repeated for at most this time after a recovery.
+constexpr Duration kStaleReport{250'000};
+// Per tick of 10 ms; halves suspicion without new answers in about a second.
+constexpr double kDecay = 0.993;
+
+double Clamp(double ratio) noexcept { return std::min(ratio, kMaxRatio); }
+
+}  // namespace
+
+void SlowGroupDetector::Resize(std::size_t n) {
+  if (n <= size_) return;
+  std::vector<std::uint16_t> common(n * n, 0);
+  for (std::size_t i = 0; i < size_; ++i) {
+    std::copy_n(common_.begin() + static_cast<std::ptrdiff_t>(i * size_), size_,
+                common.begin() + static_cast<std::ptrdiff_t>(i * n));
+  }
+  common_ = std::move(common);
+  events_.resize(n, 0);
+  last_event_.resize(n, TimePoint::min());
+  size_ = n;
+}
+
+double SlowGroupDetector::GroupConfidence(std::size_t target, std::size_t other) const noexcept {
+  if (target >= size_ || other >= size_ || events_[target] < settings_.group_events) return 0;
+  return static_cast<double>(common_[target * size_ + other]) / events_[target];
+}
+
+void SlowGroupDetector::Learn(TimePoint now, const TargetTable& table, std::size_t index) {
+  Resize(table.rows().size());
+  if (++events_[index] >= kMaxEvents) {
+    events_[index] /= 2;
+    for (std::size_t j = 0; j < size_; ++j) common_[index * size_ + j] /= 2;
+  }
+  last_event_[index] = now;
+  for (std::size_t j = 0; j < size_; ++j) {
+    if (j == index || last_event_[j] == TimePoint::min()) continue;
+    if (now - last_event_[j] > settings_.co_occurrence) continue;
+    ++common_[index * size_ + j];
+    ++common_[j * size_ + index];
+  }
+}
+
+void SlowGroupDetector::WarnGroup(TimePoint now, TargetTable& table, std::size_t index) {
+  for (std::size_t j = 0; j < table.rows().size(); ++j) {
+    TargetRow& row = table.rows()[j];
+    if (row.slow != SlowState::kNormal) continue;
+    if (GroupConfidence(index, j) < settings_.group_confidence) continue;
+    row.slow = SlowState::kAtRisk;
+    row.hold_until = now + settings_.risk_time;
+  }
+}
+
+bool SlowGroupDetector::MayEject(const TargetTable& table, const ServiceRow& service) const {
+  std::uint32_t ejected = service.ejected_elsewhere;
+  for (const std::size_t i : service.targets) {
+    ejected += table.rows()[i].slow == SlowState::kEjected ? 1 : 0;
+  }
+  return ejected + 1 <= settings_.max_ejected * service.fleet_targets;
+}
+
+void SlowGroupDetector::Declare(TimePoint now, TargetTable& table, std::size_t index) {
+  TargetRow& row = table.rows()[index];
+  if (row.slow >= SlowState::kSlow) return;
+  const bool flapping = row.ejection.count() > 0 && now < row.recovered + settings_.flap_window;
+  row.ejection =
+      flapping ? std::min(row.ejection * 2, settings_.max_ejection) : settings_.min_ejection;
+  const bool eject = MayEject(table, table.services()[row.service]);
+  row.slow = eject ? SlowState::kEjected : SlowState::kSlow;
+  row.hold_until = now + row.ejection;
+  row.fast_probes = 0;
+  row.suspicion = 0;
+  row.changed = true;
+  Learn(now, table, index);
+  WarnGroup(now, table, index);
+}
+
+void SlowGroupDetector::OnLatency(TimePoint now, TargetTable& table, std::size_t index,
+                                  double latency_us) {
+  TargetRow& row = table.rows()[index];
+  ServiceRow& service = table.services()[row.service];
+  // About the last ten answers; the first one counts in full.
+  row.latency_us += (latency_us - row.latency_us) * (row.latency_us == 0 ? 1.0 : 0.1);
+  if (service.baseline_us == 0) service.baseline_us = latency_us;
+  const double ratio = Clamp(latency_us / service.baseline_us);
+  if (row.slow >= SlowState::kSlow || (row.cold && row.ramp.ramping())) return;
+  // The baseline follows normal targets within some hundred answers.
+  ++service.samples;
+  const double weight = std::max(0.005, 1.0 / static_cast<double>(service.samples));
+  service.baseline_us += (ratio * service.baseline_us - service.baseline_us) * weight;
+  const double gain = (1.0 - 1.0 / settings_.slowdown) * ratio - std::log(settings_.slowdown);
+  row.suspicion = std::max(0.0, row.suspicion + gain);
+  if (row.suspicion > settings_.threshold) Declare(now, table, index);
+}
+
+void SlowGroupDetector::OnPeerState(TimePoint now, TargetTable& table, std::size_t index,
+                                    SlowState state) {
+  if (state < SlowState::kSlow) return;
+  TargetRow& row = table.rows()[index];
+  // A row that has just recovered ignores reports that were sent before.
+  const bool recovering = row.ejection.count() > 0 && now < row.recovered + kStaleReport;
+  if (row.slow >= SlowState::kSlow || recovering) return;
+  Declare(now, table, index);
+  row.changed = false;
+}
+
+bool SlowGroupDetector::OnProbe(TimePoint now, TargetTable& table, std::size_t index,
+                                double latency_us) {
+  TargetRow& row = table.rows()[index];
+  if (row.slow < SlowState::kSlow) {
+    probe_us_ += (latency_us - probe_us_) * (probe_us_ == 0 ? 1.0 : 0.02);
+    return false;
+  }
+  const bool fast = probe_us_ == 0 || latency_us < settings_.fast_probe_factor * probe_us_;
+  row.fast_probes = fast ? row.fast_probes + 1 : 0;
+  // The probe path may be slow without the request path, so that the longest ejection ends anyway.
+  const bool overdue = now >= row.hold_until + settings_.max_ejection;
+  if ((row.fast_probes < settings_.fast_probes && !overdue) || now < row.hold_until) return false;
+  Recover(now, row);
+  return true;
+}
+
+void SlowGroupDetector::Recover(TimePoint now, TargetRow& row) {
+  row.slow = SlowState::kNormal;
+  row.recovered = now;
+  row.suspicion = 0;
+  row.latency_us = 0;
+  row.changed = true;
+}
+
+void SlowGroupDetector::Tick(TimePoint now, TargetTable& table) {
+  const double credit = std::log(settings_.slowdown);
+  const double weight = 1.0 - 1.0 / settings_.slowdown;
+  for (std::size_t i = 0; i < table.rows().size(); ++i) {
+    TargetRow& row = table.rows()[i];
+    if (row.slow == SlowState::kAtRisk && now >= row.hold_until) row.slow = SlowState::kNormal;
+    const double baseline = table.services()[row.service].baseline_us;
+    if (row.slow >= SlowState::kSlow || baseline == 0) continue;
+    if (row.cold && row.ramp.ramping()) continue;
+    row.suspicion *= kDecay;
+    double evidence = row.suspicion;
+    for (const Attempt& attempt : row.attempts) {
+      const auto age = static_cast<double>((now - attempt.started).count());
+      // An attempt whose age is still usual adds nothing; its answer will be counted.
+      const double gain = weight * age / baseline - credit;
+      if (gain <= 0) break;
+      evidence += gain;
+    }
+    if (evidence > settings_.threshold) Declare(now, table, i);
+  }
+}
+
+}  // namespace dogwoodport
--- /dev/null
+++ b/packages/core/src/spill_over.cc
@@ -0,0 +1,71 @@
+#include "dogwoodport/core/spill_over.h"
+
+#include <algorithm>
+
+namespace dogwoodport {
+namespace {
+
+// Cost of a full data centre compared with an idle one: about one service time, so that a near
+// data centre is left for a far one only when it is clearly more loaded.
+constexpr double kFullCostUs = 10'000;
+
+}  // namespace
+
+DataCentreRow& DataCentreTable::Get(DataCentreId id) {
+  const auto it = std::find_if(rows_.begin(), rows_.end(),
+                               [&](const DataCentreRow& row) { return row.id == id; });
+  if (it != rows_.end()) return *it;
+  rows_.push_back(DataCentreRow{.id = id});
+  return rows_.back();
+}
+
+const DataCentreRow* DataCentreTable::Find(DataCentreId id) const noexcept {
+  const auto it = std::find_if(rows_.begin(), rows_.end(),
+                               [&](const DataCentreRow& row) { return row.id == id; });
+  return it == rows_.end() ? nullptr : &*it;
+}
+
+void DataCentreTable::OnLoad(TimePoint now, const DataCentreLoad& load) {
+  DataCentreRow& row = Get(load.data_centre);
+  row.services = load.services;
+  row.sent.assign(load.services.size(), 0);
+  row.reported = now;
+  if (load.round_trip_us > 0) row.round_trip_us = load.round_trip_us;
+}
+
+std::optional<DataCentreId> DataCentreTable::Choose(TimePoint now, ServiceId service,
+                                                    DataCentreId own) {
+  DataCentreRow* best = nullptr;
+  std::size_t best_service = 0;
+  double best_cost = 0;
+  for (DataCentreRow& row : rows_) {
+    if (row.id == own || !row.in_service || row.services.empty()) continue;
+    if (now > row.reported + kMaxReportAge) continue;
+    for (std::size_t i = 0; i < row.services.size(); ++i) {
+      const ServiceLoad& load = row.services[i];
+      if (load.service != service || load.usable_slots == 0) continue;
+      const double used = static_cast<double>(load.in_flight + row.sent[i]) / load.usable_slots;
+      if (used > 1.0 - kReserve) continue;
+      const double cost = static_cast<double>(row.round_trip_us) + used * kFullCostUs;
+      if (best != nullptr && cost >= best_cost) continue;
+      best = &row;
+      best_service = i;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr) return std::nullopt;
+  ++best->sent[best_service];
+  return best->id;
+}
+
+std::uint32_t DataCentreTable::EjectedElsewhere(TimePoint now, ServiceId service,
+                                                DataCentreId own) const {
+  std::uint32_t n = 0;
+  for (const DataCentreRow& row : rows_) {
+    if (row.id == own || now > row.reported + kMaxReportAge) continue;
+    for (const ServiceLoad& load : row.services) n += load.service == service ? load.ejected : 0;
+  }
+  return n;
+}
+
+}  // namespace dogwoodport
