--- a/packages/core/include/dogwoodport/core/coordinator.h
+++ b/packages/core/include/dogwoodport/core/coordinator.h
@@ -17,29 +17,18 @@
 #include "dogwoodport/core/message.h"
 #include "dogwoodport/core/ownership_settings.h"
 #include "dogwoodport/core/placement.h"
+#include "dogwoodport/core/record.h"
 #include "dogwoodport/core/shard_map.h"
 #include "dogwoodport/core/target_leases.h"
 
 namespace dogwoodport {
 
-/// Moves to append to the log as an `AssignmentBatch`. A move to target 0 releases the shard; a
-/// move of a shard without home, or whose home was lost, claims it. An empty batch says that the
-/// delegation's coordinator is active.
-struct AssignmentRecord {
-  DataCentreId data_centre;
-  std::uint64_t delegation = 0;
-  std::vector<Assignment> moves;
-};
-
-/// A hot key that got a shard of its own or returned to its hash shard; for the audit only.
-struct SplitRecord {
-  ServiceId service;
-  std::uint64_t key_hash = 0;
-  bool split = true;
-};
-
-/// A record that the ownership system asks its caller to append to the log.
-using OwnershipRecord = std::variant<AssignmentRecord, SplitRecord>;
+/// A body that the ownership system asks its caller to append to the log. An `AssignmentBatch` with
+/// a move to target 0 releases the shard; a move of a shard without home, or whose home was lost,
+/// claims it; an empty batch says that the delegation's coordinator is active. A `ShardSplit` is
+/// for the audit only, as the permit group decides on splits; the caller fills in the expected
+/// version.
+using OwnershipRecord = std::variant<AssignmentBatch, ShardSplit>;
 
 /// What a coordinator asks its caller to do, beside sending messages.
 struct OwnershipActions {
@@ -53,16 +42,13 @@
   bool success = false;
 };
 
-/// Whether a data centre may hold shards, as recorded in the log.
-enum class HomeState : std::uint8_t { kInService, kWithdrawn, kYielded, kLost };
-
 /// What the coordinator reads of its instance: state that other systems or the log determine.
 struct CoordinatorView {
   const Config& config;
   const HomeMap& homes;
   /// State of each data centre and when this instance read it.
   struct DataCentreEntry {
-    HomeState state = HomeState::kInService;
+    DataCentreState state = DataCentreState::kInService;
     TimePoint since{};
   };
   const std::unordered_map<DataCentreId, DataCentreEntry>& data_centres;
@@ -104,7 +90,7 @@
 
   void OnMessage(TimePoint now, InstanceId from, const TakeoverReply& reply, Outbox& out);
   void OnMessage(TimePoint now, InstanceId from, const ReplicateAck& ack, Outbox& out);
-  void OnMessage(TimePoint now, InstanceId from, const LoadReport& report);
+  void OnMessage(TimePoint now, InstanceId from, const ShardLoadReport& report);
 
   /// Learns the result of a probe.
   void OnTargetReport(TimePoint now, const TargetReport& report);
@@ -182,7 +168,7 @@
     std::unordered_map<std::uint64_t, double> shards;
     double total = 0;
     double reported = 0;
-    std::vector<LoadReport> window;
+    std::vector<ShardLoadReport> window;
     /// Desired home of each hash shard, kept while the candidates stay the same.
     std::vector<DataCentreId> candidates;
     std::vector<DataCentreId> desired;
--- a/packages/core/include/dogwoodport/core/ownership.h
+++ b/packages/core/include/dogwoodport/core/ownership.h
@@ -101,13 +101,13 @@
   void OnConfig(TimePoint now, Config config);
 
   /// Learns of the recorded state of a data centre.
-  void OnDataCentreState(TimePoint now, DataCentreId data_centre, HomeState state);
+  void OnDataCentreState(TimePoint now, DataCentreId data_centre, DataCentreState state);
 
   /// Learns whether a target is leaving.
   void OnTargetState(TimePoint now, TargetId target, bool draining);
 
   /// Learns of a recorded batch, in the order of the log.
-  void OnAssignments(TimePoint now, const AssignmentRecord& record);
+  void OnAssignments(TimePoint now, const AssignmentBatch& record);
 
   /// Sets the home of the shards of a snapshot without checking what they were before.
   void RestoreAssignments(DataCentreId data_centre, const std::vector<Assignment>& assignments);
--- a/packages/core/include/dogwoodport/core/ownership_messages.h
+++ b/packages/core/include/dogwoodport/core/ownership_messages.h
@@ -153,7 +153,7 @@
 };
 
 /// Load that an instance saw since its last report, sent to the coordinator.
-struct LoadReport {
+struct ShardLoadReport {
   DataCentreId data_centre;
   ServiceId service;
   std::uint64_t total = 0;
@@ -165,7 +165,7 @@
 /// All messages of this subsystem, in the order of their type index.
 using OwnershipMessages =
     detail::TypeList<RenewRequest, RenewAck, TableRequest, TableReply, ReplicateRequest,
-                     InstallRequest, ReplicateAck, TakeoverRequest, TakeoverReply, LoadReport>;
+                     InstallRequest, ReplicateAck, TakeoverRequest, TakeoverReply, ShardLoadReport>;
 
 }  // namespace dogwoodport
 
--- a/packages/core/src/coordinator.cc
+++ b/packages/core/src/coordinator.cc
@@ -238,7 +238,7 @@
   TryActivate(now);
 }
 
-void Coordinator::OnMessage(TimePoint /*now*/, InstanceId /*from*/, const LoadReport& report) {
+void Coordinator::OnMessage(TimePoint /*now*/, InstanceId /*from*/, const ShardLoadReport& report) {
   if (phase_ == CoordinatorPhase::kActive) loads_[report.service].window.push_back(report);
 }
 
@@ -359,8 +359,9 @@
   for (const Move& move : batch.moves) {
     moving_.erase(move.shard);
     if (move.key_hash == 0) continue;
-    const bool split = move.kind == MoveKind::kAssign;
-    actions.records.emplace_back(SplitRecord{move.shard.service, move.key_hash, split});
+    const SplitAction split =
+        move.kind == MoveKind::kAssign ? SplitAction::kSplit : SplitAction::kMerge;
+    actions.records.emplace_back(ShardSplit{move.shard.service, move.key_hash, 0, split});
   }
   return true;
 }
@@ -446,7 +447,7 @@
 
 void Coordinator::EmitRelease(TimePoint now, Batch& batch, const CoordinatorView& view,
                               OwnershipActions& actions) {
-  AssignmentRecord record{data_centre_, current_->offset, {}};
+  AssignmentBatch record{data_centre_, current_->offset, {}};
   for (const Move& move : batch.moves) {
     if (move.kind != MoveKind::kRelease || move.granted) continue;
     record.moves.push_back({move.shard, TargetId{}, move.epoch});
--- a/packages/core/src/coordinator_plan.cc
+++ b/packages/core/src/coordinator_plan.cc
@@ -23,9 +23,9 @@
   std::erase_if(average, [](const auto& item) { return item.second < 0.5; });
 }
 
-HomeState StateOf(DataCentreId id, const CoordinatorView& view) {
+DataCentreState StateOf(DataCentreId id, const CoordinatorView& view) {
   const auto it = view.data_centres.find(id);
-  return it == view.data_centres.end() ? HomeState::kInService : it->second.state;
+  return it == view.data_centres.end() ? DataCentreState::kInService : it->second.state;
 }
 
 }  // namespace
@@ -46,7 +46,7 @@
                                          const CoordinatorView& view) {
   std::vector<DataCentreId> candidates;
   for (const DataCentreConfig& data_centre : view.config.data_centres) {
-    if (StateOf(data_centre.id, view) != HomeState::kInService) continue;
+    if (StateOf(data_centre.id, view) != DataCentreState::kInService) continue;
     const bool has_targets = std::any_of(
         view.config.targets.begin(), view.config.targets.end(), [&](const TargetConfig& target) {
           return target.service == service.id && target.data_centre == data_centre.id;
@@ -58,7 +58,7 @@
 
 void Coordinator::Plan(TimePoint now, const CoordinatorView& view, OwnershipActions& actions) {
   next_plan_ = now + settings_.plan_interval;
-  if (StateOf(data_centre_, view) == HomeState::kLost) return;
+  if (StateOf(data_centre_, view) == DataCentreState::kLost) return;
   for (const ServiceConfig& service : view.config.services) {
     if (service.keyed) PlanService(now, service, view, actions);
   }
@@ -121,8 +121,8 @@
   const auto it = view.data_centres.find(home);
   if (it == view.data_centres.end()) return false;
   const TimePoint since = it->second.since;
-  if (it->second.state == HomeState::kLost) return now >= since + settings_.PermitWait();
-  if (it->second.state != HomeState::kYielded) return false;
+  if (it->second.state == DataCentreState::kLost) return now >= since + settings_.PermitWait();
+  if (it->second.state != DataCentreState::kYielded) return false;
   const auto* yields = std::get_if<YieldOnIsolation>(&service.on_isolation);
   if (yields == nullptr) return false;
   const Duration bound = yields->bound + yields->bound * kClockDriftPercent / 100;
@@ -158,7 +158,7 @@
   if (claims.empty()) return;
   const std::vector<PlacementTarget> targets = UsableTargets(now, service.id, view);
   if (targets.empty()) return;
-  AssignmentRecord record{data_centre_, current_->offset, {}};
+  AssignmentBatch record{data_centre_, current_->offset, {}};
   for (const std::uint32_t index : claims) {
     record.moves.push_back({ShardId{service.id, index}, targets.front().id, NextEpoch()});
     if (record.moves.size() < settings_.batch_size) continue;
@@ -170,7 +170,7 @@
 void Coordinator::PlanReleases(TimePoint now, const ServiceConfig& service,
                                const std::vector<std::uint32_t>& leaving,
                                const CoordinatorView& view) {
-  const bool withdrawn = StateOf(data_centre_, view) != HomeState::kInService;
+  const bool withdrawn = StateOf(data_centre_, view) != DataCentreState::kInService;
   const bool releasing = std::any_of(batches_.begin(), batches_.end(), [](const Batch& batch) {
     return std::any_of(batch.moves.begin(), batch.moves.end(),
                        [](const Move& move) { return move.kind == MoveKind::kRelease; });
@@ -303,7 +303,7 @@
     std::unordered_map<std::uint64_t, double> keys;
     std::unordered_map<std::uint64_t, double> shards;
     double total = 0;
-    for (const LoadReport& report : load.window) {
+    for (const ShardLoadReport& report : load.window) {
       total += static_cast<double>(report.total);
       for (const LoadCount& key : report.keys) keys[key.id] += static_cast<double>(key.count);
       for (const LoadCount& s : report.shards) shards[s.id] += static_cast<double>(s.count);
@@ -321,7 +321,7 @@
                                  OwnershipActions& actions) {
   if (now < next_record_ || !view.log_reachable) return;
   next_record_ = now + kRecordInterval;
-  AssignmentRecord record{data_centre_, current_->offset, {}};
+  AssignmentBatch record{data_centre_, current_->offset, {}};
   table_.ForEach([&](ShardId shard, const ShardEntry& entry) {
     const bool open = entry.state != ShardState::kCommitted || entry.key_hash != 0;
     if (open || moving_.contains(shard) || record.moves.size() >= settings_.batch_size) return;
--- a/packages/core/src/ownership.cc
+++ b/packages/core/src/ownership.cc
@@ -101,7 +101,7 @@
           [&](const ReplicateAck& m) {
             if (own(m.data_centre)) coordinator_.OnMessage(now, from, m, out);
           },
-          [&](const LoadReport& m) {
+          [&](const ShardLoadReport& m) {
             if (own(m.data_centre)) coordinator_.OnMessage(now, from, m);
           },
           [](const auto&) {}},
@@ -167,7 +167,7 @@
   }
 }
 
-void Ownership::OnDataCentreState(TimePoint now, DataCentreId data_centre, HomeState state) {
+void Ownership::OnDataCentreState(TimePoint now, DataCentreId data_centre, DataCentreState state) {
   const auto it = data_centres_.find(data_centre);
   if (it != data_centres_.end() && it->second.state == state) return;
   data_centres_[data_centre] = CoordinatorView::DataCentreEntry{state, now};
@@ -190,13 +190,13 @@
   if (home.value == 0) return false;
   const auto it = data_centres_.find(home);
   if (it == data_centres_.end()) return true;
-  if (it->second.state == HomeState::kLost) return false;
-  if (it->second.state != HomeState::kYielded) return true;
+  if (it->second.state == DataCentreState::kLost) return false;
+  if (it->second.state != DataCentreState::kYielded) return true;
   const ServiceConfig* config = FindService(service);
   return config == nullptr || std::holds_alternative<HoldOnIsolation>(config->on_isolation);
 }
 
-void Ownership::OnAssignments(TimePoint /*now*/, const AssignmentRecord& record) {
+void Ownership::OnAssignments(TimePoint /*now*/, const AssignmentBatch& record) {
   const auto newest = newest_delegation_.find(record.data_centre);
   // A record of a replaced coordinator may name shards that its successor assigned again.
   if (newest == newest_delegation_.end() || newest->second != record.delegation) return;
@@ -219,8 +219,9 @@
 
 void Ownership::RestoreAssignments(DataCentreId data_centre,
                                    const std::vector<Assignment>& assignments) {
-  for (const Assignment& a : assignments)
+  for (const Assignment& a : assignments) {
     homes_.Set(a.shard, {data_centre, a.epoch, a.target.value == 0});
+  }
   if (data_centre == data_centre_) coordinator_.OnRecorded(assignments);
 }
 
@@ -301,7 +302,7 @@
   next_load_report_ = now + settings_.load_report_interval;
   for (auto& [service, counts] : counts_) {
     if (counts.keys.total() == 0) continue;
-    LoadReport report{
+    ShardLoadReport report{
         data_centre_, service, counts.keys.total(), counts.keys.Top(kReportedKeys), {}};
     for (const auto& [index, count] : counts.shards) report.shards.push_back({index, count});
     const std::size_t n = std::min(kReportedShards, report.shards.size());
--- a/standin/include/dogwoodport/standin/ownership_world.h
+++ b/standin/include/dogwoodport/standin/ownership_world.h
@@ -85,7 +85,7 @@
   void SetLoss(double loss) { options_.loss = loss; }
 
   // Records of operators and other systems; written at once, also while the log is down for others.
-  void WriteState(std::size_t data_centre, HomeState state);
+  void WriteState(std::size_t data_centre, DataCentreState state);
   void WriteTargetState(std::size_t target, bool draining);
   /// Names all reachable instances of the data centre; `coordinator` is an instance index.
   void WriteDelegation(std::size_t data_centre, std::optional<std::size_t> coordinator = {});
@@ -124,13 +124,13 @@
  private:
   struct StateRecord {
     DataCentreId data_centre;
-    HomeState state;
+    DataCentreState state;
   };
   struct TargetRecord {
     TargetId target;
     bool draining;
   };
-  using LogRecord = std::variant<Delegation, AssignmentRecord, StateRecord, TargetRecord>;
+  using LogRecord = std::variant<Delegation, AssignmentBatch, StateRecord, TargetRecord>;
   struct Node {
     InstanceId id;
     std::size_t data_centre = 0;
--- a/standin/src/ownership_world.cc
+++ b/standin/src/ownership_world.cc
@@ -203,7 +203,7 @@
   Outbox out;
   if (const auto* delegation = std::get_if<Delegation>(&record)) {
     ownership.OnDelegation(now, *delegation, out);
-  } else if (const auto* assignments = std::get_if<AssignmentRecord>(&record)) {
+  } else if (const auto* assignments = std::get_if<AssignmentBatch>(&record)) {
     ownership.OnAssignments(now, *assignments);
   } else if (const auto* state = std::get_if<StateRecord>(&record)) {
     ownership.OnDataCentreState(now, state->data_centre, state->state);
@@ -239,7 +239,7 @@
   OwnershipActions actions = nodes_[from].ownership->TakeActions();
   for (const GrantRequest& request : actions.grants) SendGrant(from, request);
   for (const OwnershipRecord& record : actions.records) {
-    const auto* assignments = std::get_if<AssignmentRecord>(&record);
+    const auto* assignments = std::get_if<AssignmentBatch>(&record);
     if (assignments == nullptr || !LogReachable(nodes_[from])) continue;
     At(now_ + options_.log_delay, [this, record = *assignments] {
       if (log_up_) log_.emplace_back(record);
@@ -424,7 +424,7 @@
   ++targets_[target].boot;
 }
 
-void OwnershipWorld::WriteState(std::size_t data_centre, HomeState state) {
+void OwnershipWorld::WriteState(std::size_t data_centre, DataCentreState state) {
   log_.emplace_back(StateRecord{config_.data_centres[data_centre].id, state});
 }
 
