--- a/packages/core/include/dogwoodport/core/routing.h
+++ b/packages/core/include/dogwoodport/core/routing.h
@@ -232,8 +232,9 @@
   bool IsCoordinator() const noexcept;
 
   RoutingSettings settings_;
-  TargetTable table_;
+  /// Outlives the lists of attempts in the target table.
   AttemptTable attempts_;
+  TargetTable table_;
   SlotLedger ledger_;
   SlowGroupDetector detector_;
   ProbeSchedule probes_;
--- a/packages/core/include/dogwoodport/core/routing_messages.h
+++ b/packages/core/include/dogwoodport/core/routing_messages.h
@@ -20,11 +20,15 @@
   std::uint8_t resource = 0;
   Incarnation borrower;
   std::uint64_t sequence = 0;
+  /// Members that passed the request on because they had nothing to lend; if any, `from` is the
+  /// instance that asked first.
+  std::uint8_t passed_on = 0;
+  InstanceId from;
 
-  MSGPACK_DEFINE_ARRAY(target, resource, borrower, sequence)
+  MSGPACK_DEFINE_ARRAY(target, resource, borrower, sequence, passed_on, from)
 };
 
-/// Lends one unit until `SlotLedgerSettings::max_hold` after the borrower sent its request. Sent
+/// Lends one unit for a time that counts from the borrower's request. Sent
 /// again while the loan is outstanding, so that a borrower that no longer holds it can say so.
 struct SlotLoan {
   TargetId target;
@@ -54,12 +58,14 @@
   std::uint32_t in_flight = 0;
   /// Value of `SlowState`.
   std::uint8_t slow_state = 0;
+  /// Number of slow states so far; a higher one replaces a lower one.
+  std::uint32_t slow_episode = 0;
   /// Start of the ramp, counted by boot or detection; a higher one replaces a lower one.
   std::uint64_t ramp_episode = 0;
   /// Admitted concurrency of the ramp; 0 when the target is warm.
   std::uint32_t ramp_limit = 0;
 
-  MSGPACK_DEFINE_ARRAY(target, in_flight, slow_state, ramp_episode, ramp_limit)
+  MSGPACK_DEFINE_ARRAY(target, in_flight, slow_state, slow_episode, ramp_episode, ramp_limit)
 };
 
 /// Passes measurements to the instances of the same data centre.
--- a/packages/core/include/dogwoodport/core/slot_ledger.h
+++ b/packages/core/include/dogwoodport/core/slot_ledger.h
@@ -29,7 +29,8 @@
 struct SlotLedgerSettings {
   InstanceId self;
   Incarnation incarnation;
-  /// Longest time that a unit is held by one attempt, and duration of a loan.
+  /// Longest time that a unit is held by one attempt. A loan lasts half as long again, and takes
+  /// new attempts only while their whole time is left.
   Duration max_hold{5'000'000};
   /// Time after which an instance that missed a delegation has lost its permit (design, section 4).
   Duration permit_duration{1'500'000};
@@ -92,7 +93,8 @@
   /// Asks the next member for a unit, at most once per 2 ms and row.
   void Borrow(TimePoint now, std::size_t row, Outbox& out);
 
-  /// Lends a unit of the first `limit` when one is free; silent otherwise.
+  /// Lends a unit of the first `limit` when one is free. Otherwise passes the request on: to the
+  /// lender of an idle loan, which is returned, or to the next member, up to the number of members.
   void OnRequest(TimePoint now, InstanceId from, const SlotRequest& request, std::uint32_t limit,
                  Outbox& out);
   void OnLoan(TimePoint now, InstanceId from, const SlotLoan& loan, Outbox& out);
@@ -152,6 +154,14 @@
   std::uint32_t ShareUnder(const Division& division, std::size_t row,
                            std::uint32_t limit) const noexcept;
   std::uint32_t OwnFree(TimePoint now, const Row& row, std::uint32_t limit) const noexcept;
+  void PassOn(TimePoint now, InstanceId borrower, Row& row, const SlotRequest& request,
+              Outbox& out);
+  bool Lend(TimePoint now, InstanceId borrower, std::size_t row, const SlotRequest& request,
+            std::uint32_t limit, Outbox& out);
+  Duration LoanDuration() const noexcept { return settings_.max_hold + settings_.max_hold / 2; }
+  bool Startable(TimePoint now, const LoanIn& loan) const noexcept {
+    return !loan.busy && now + settings_.max_hold <= loan.expires;
+  }
   void SendReturn(const Row& row, InstanceId lender, Incarnation incarnation, std::uint64_t number,
                   Outbox& out) const;
   void TickRow(TimePoint now, Row& row, Outbox& out);
--- a/packages/core/include/dogwoodport/core/slow_group_detector.h
+++ b/packages/core/include/dogwoodport/core/slow_group_detector.h
@@ -49,7 +49,8 @@
   void OnLatency(TimePoint now, TargetTable& table, std::size_t index, double latency_us);
 
   /// Takes over what another instance found. Complexity: linear in the targets when it is new.
-  void OnPeerState(TimePoint now, TargetTable& table, std::size_t index, SlowState state);
+  void OnPeerState(TimePoint now, TargetTable& table, std::size_t index, SlowState state,
+                   std::uint32_t episode);
 
   /// Counts a probe; ends an ejection after enough fast ones. Returns whether it ended now, in
   /// which case the caller starts a ramp. Complexity: constant.
--- a/packages/core/include/dogwoodport/core/target_table.h
+++ b/packages/core/include/dogwoodport/core/target_table.h
@@ -90,6 +90,7 @@
   SlowState slow = SlowState::kNormal;
   /// Cumulative log-likelihood ratio of "slowed" against "normal".
   double suspicion = 0;
+  std::uint32_t slow_episode = 0;
   TimePoint recovered;
   TimePoint hold_until;
   Duration ejection{0};
--- a/packages/core/src/routing.cc
+++ b/packages/core/src/routing.cc
@@ -433,7 +433,7 @@
     row.ramp.Merge(now, evidence.ramp_episode, evidence.ramp_limit);
     if (!settings_.detect_slow) continue;
     const auto state = static_cast<SlowState>(evidence.slow_state & 3);
-    detector_.OnPeerState(now, table_, *index, state);
+    detector_.OnPeerState(now, table_, *index, state, evidence.slow_episode);
   }
 }
 
@@ -496,6 +496,7 @@
   return EvidenceRow{.target = row.config.id,
                      .in_flight = static_cast<std::uint32_t>(row.attempts.size()),
                      .slow_state = static_cast<std::uint8_t>(row.slow),
+                     .slow_episode = row.slow_episode,
                      .ramp_episode = row.ramp.episode(),
                      .ramp_limit = row.ramp.step()};
 }
--- a/packages/core/src/slot_ledger.cc
+++ b/packages/core/src/slot_ledger.cc
@@ -7,6 +7,8 @@
 
 // Borrowing again sooner would ask twice within one round trip inside a data centre.
 constexpr Duration kBorrowInterval{2'000};
+// A loan idle for less may be meant for a request that is about to ask for it.
+constexpr Duration kMinIdle{1'000};
 constexpr std::size_t kNoRow = static_cast<std::size_t>(-1);
 
 Duration WithDrift(Duration d) {
@@ -45,7 +47,7 @@
                               DelegationHistory history) {
   if (delegation.offset < delegation_) return;
   delegation_ = delegation.offset;
-  const TimePoint settled = now + WithDrift(settings_.permit_duration + settings_.max_hold);
+  const TimePoint settled = now + WithDrift(settings_.permit_duration + LoanDuration());
   if (divisions_.empty() && history == DelegationHistory::kReplacesEarlier) {
     // A new instance uses nothing of its own while members of the earlier delegation may.
     Division nothing{.until = settled};
@@ -107,7 +109,7 @@
 
 std::uint32_t SlotLedger::Free(TimePoint now, std::size_t row, std::uint32_t limit) const noexcept {
   std::uint32_t n = OwnFree(now, rows_[row], limit);
-  for (const LoanIn& loan : rows_[row].in) n += !loan.busy && now < loan.expires ? 1 : 0;
+  for (const LoanIn& loan : rows_[row].in) n += Startable(now, loan) ? 1 : 0;
   return n;
 }
 
@@ -128,9 +130,9 @@
     return SlotHold{.until = now + settings_.max_hold};
   }
   for (LoanIn& loan : r.in) {
-    if (loan.busy || now >= loan.expires) continue;
+    if (!Startable(now, loan)) continue;
     loan.busy = true;
-    return SlotHold{.loan = loan.number, .lender = loan.lender, .until = loan.expires};
+    return SlotHold{.loan = loan.number, .lender = loan.lender, .until = now + settings_.max_hold};
   }
   return std::nullopt;
 }
@@ -174,30 +176,67 @@
   }
 }
 
+bool SlotLedger::Lend(TimePoint now, InstanceId borrower, std::size_t row,
+                      const SlotRequest& request, std::uint32_t limit, Outbox& out) {
+  Row& r = rows_[row];
+  if (OwnFree(now, r, limit) == 0) return false;
+  if (r.in.empty() && r.out.empty()) active_.push_back(row);
+  r.out.push_back(LoanOut{.borrower = borrower,
+                          .incarnation = request.borrower,
+                          .sequence = request.sequence,
+                          .number = next_loan_++,
+                          .expires = now + WithDrift(LoanDuration()),
+                          .next_query = now + settings_.query_interval});
+  out.Send(borrower, SlotLoan{.target = r.target,
+                              .resource = request.resource,
+                              .borrower = request.borrower,
+                              .sequence = request.sequence,
+                              .lender = settings_.incarnation,
+                              .number = r.out.back().number});
+  return true;
+}
+
 void SlotLedger::OnRequest(TimePoint now, InstanceId from, const SlotRequest& request,
                            std::uint32_t limit, Outbox& out) {
   const auto index = FindRow(request.target, static_cast<Resource>(request.resource & 1));
-  if (!index || from == settings_.self) return;
+  const InstanceId borrower = request.passed_on ? request.from : from;
+  if (!index || borrower == settings_.self) return;
   Row& r = rows_[*index];
   const bool known = std::any_of(r.out.begin(), r.out.end(), [&](const LoanOut& loan) {
-    return loan.borrower == from && loan.incarnation == request.borrower &&
+    return loan.borrower == borrower && loan.incarnation == request.borrower &&
            loan.sequence == request.sequence;
   });
   // A duplicated request must not take a second unit.
-  if (known || OwnFree(now, r, limit) == 0) return;
-  if (r.in.empty() && r.out.empty()) active_.push_back(*index);
-  r.out.push_back(LoanOut{.borrower = from,
-                          .incarnation = request.borrower,
-                          .sequence = request.sequence,
-                          .number = next_loan_++,
-                          .expires = now + WithDrift(settings_.max_hold),
-                          .next_query = now + settings_.query_interval});
-  out.Send(from, SlotLoan{.target = r.target,
-                          .resource = request.resource,
-                          .borrower = request.borrower,
-                          .sequence = request.sequence,
-                          .lender = settings_.incarnation,
-                          .number = r.out.back().number});
+  if (known || Lend(now, borrower, *index, request, limit, out)) return;
+  PassOn(now, borrower, r, request, out);
+}
+
+void SlotLedger::PassOn(TimePoint now, InstanceId borrower, Row& row, const SlotRequest& request,
+                        Outbox& out) {
+  if (divisions_.empty()) return;
+  const std::vector<InstanceId>& members = divisions_.back().members;
+  if (request.passed_on + 2U >= std::max<std::size_t>(members.size(), 3)) return;
+  SlotRequest next = request;
+  next.from = borrower;
+  ++next.passed_on;
+  const auto idle = std::find_if(row.in.begin(), row.in.end(), [&](const LoanIn& loan) {
+    return !loan.busy && now >= loan.idle_since + kMinIdle;
+  });
+  if (idle != row.in.end()) {
+    const InstanceId lender = idle->lender;
+    SendReturn(row, lender, idle->incarnation, idle->number, out);
+    row.in.erase(idle);
+    // The lender that asked itself gets its unit back by the return alone.
+    if (lender != borrower) out.Send(lender, next);
+    return;
+  }
+  const auto self = std::find(members.begin(), members.end(), settings_.self);
+  if (self == members.end()) return;
+  auto i = static_cast<std::size_t>(self - members.begin());
+  do {
+    i = (i + 1) % members.size();
+  } while (members[i] == borrower);
+  if (members[i] != settings_.self) out.Send(members[i], next);
 }
 
 void SlotLedger::SendReturn(const Row& row, InstanceId lender, Incarnation incarnation,
@@ -235,7 +274,7 @@
   r.in.push_back(LoanIn{.lender = from,
                         .incarnation = loan.lender,
                         .number = loan.number,
-                        .expires = r.requested + settings_.max_hold,
+                        .expires = r.requested + LoanDuration(),
                         .idle_since = now});
 }
 
@@ -251,8 +290,8 @@
 void SlotLedger::TickRow(TimePoint now, Row& row, Outbox& out) {
   std::erase_if(row.in, [&](const LoanIn& loan) {
     if (loan.busy) return false;
-    if (now >= loan.expires) return true;
-    if (now < loan.idle_since + settings_.idle_return) return false;
+    const bool spent = !Startable(now, loan);
+    if (!spent && now < loan.idle_since + settings_.idle_return) return false;
     SendReturn(row, loan.lender, loan.incarnation, loan.number, out);
     return true;
   });
--- a/packages/core/src/slow_group_detector.cc
+++ b/packages/core/src/slow_group_detector.cc
@@ -12,8 +12,6 @@
 // says little about the target.
 constexpr double kMaxRatio = 6.0;
 
-// Evidence of an instance about a target is repeated for at most this time after a recovery.
-constexpr Duration kStaleReport{250'000};
 // Per tick of 10 ms; halves suspicion without new answers in about a second.
 constexpr double kDecay = 0.993;
 
@@ -84,6 +82,7 @@
   row.fast_probes = 0;
   row.suspicion = 0;
   row.changed = true;
+  ++row.slow_episode;
   Learn(now, table, index);
   WarnGroup(now, table, index);
 }
@@ -107,13 +106,12 @@
 }
 
 void SlowGroupDetector::OnPeerState(TimePoint now, TargetTable& table, std::size_t index,
-                                    SlowState state) {
-  if (state < SlowState::kSlow) return;
+                                    SlowState state, std::uint32_t episode) {
   TargetRow& row = table.rows()[index];
-  // A row that has just recovered ignores reports that were sent before.
-  const bool recovering = row.ejection.count() > 0 && now < row.recovered + kStaleReport;
-  if (row.slow >= SlowState::kSlow || recovering) return;
+  // An episode that ended here already may still be reported by an instance that ends it later.
+  if (state < SlowState::kSlow || episode <= row.slow_episode) return;
   Declare(now, table, index);
+  row.slow_episode = episode;
   row.changed = false;
 }
 
