Let counts of forwarded requests fade with the service time

Cause: a request sent to another data centre counted against it until its next load report, 100 ms later, although it ends after about 10 ms, so that spill-over stopped at a tenth of the free capacity. Change: the count fades with the service time and includes the likely share of the other instances.

--- a/packages/core/include/dogwoodport/core/spill_over.h
+++ b/packages/core/include/dogwoodport/core/spill_over.h
@@ -21,8 +21,10 @@
   std::int64_t round_trip_us = 0;
   std::vector<ServiceLoad> services;
   TimePoint reported;
-  /// Requests sent there since the last report, by service as in `services`.
-  std::vector<std::uint32_t> sent;
+  /// Requests sent there that may still run and that the report does not show, by service as in
+  /// `services`; fades with the service time.
+  std::vector<double> sent;
+  TimePoint sent_at;
 };
 
 /// Table of data centres.
@@ -41,8 +43,10 @@
   void OnLoad(TimePoint now, const DataCentreLoad& load);
 
   /// Returns the data centre with the lowest round trip plus expected wait that has free slots for
-  /// `service`, and counts the request. Linear in data centres and services.
-  std::optional<DataCentreId> Choose(TimePoint now, ServiceId service, DataCentreId own);
+  /// `service`, and counts the request, which takes about `service_us`. Linear in data centres and
+  /// services.
+  std::optional<DataCentreId> Choose(TimePoint now, ServiceId service, DataCentreId own,
+                                     double service_us);
 
   /// Ejected targets of `service` over all data centres but `own` as last reported.
   std::uint32_t EjectedElsewhere(TimePoint now, ServiceId service, DataCentreId own) const;
--- a/packages/core/src/routing.cc
+++ b/packages/core/src/routing.cc
@@ -127,9 +127,10 @@
 Choice Routing::ChooseAny(TimePoint now, const RouteRequest& request, ServiceRow& service,
                           Outbox& out) {
   if (!OwnInService()) {
-    const auto other = request.forwarded || !settings_.spill_over
-                           ? std::nullopt
-                           : data_centres_.Choose(now, service.id, settings_.data_centre);
+    const auto other =
+        request.forwarded || !settings_.spill_over
+            ? std::nullopt
+            : data_centres_.Choose(now, service.id, settings_.data_centre, service.baseline_us);
     if (other) return SpillOver{*other};
     return Refused{RefusalReason::kWithdrawn, kRetryAfter};
   }
@@ -152,7 +153,8 @@
   BorrowFor(now, service, out);
   if (lendable && waited < kBorrowWait) return Wait{now + kAskAgain / 2};
   if (!request.forwarded && settings_.spill_over) {
-    const auto other = data_centres_.Choose(now, service.id, settings_.data_centre);
+    const auto other =
+        data_centres_.Choose(now, service.id, settings_.data_centre, service.baseline_us);
     if (other) return SpillOver{*other};
   }
   if (Micros(waited) >= kSlowWait * service.baseline_us) {
--- a/packages/core/src/spill_over.cc
+++ b/packages/core/src/spill_over.cc
@@ -1,6 +1,7 @@
 #include "dogwoodport/core/spill_over.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dogwoodport {
 namespace {
@@ -9,6 +10,13 @@
 // data centre is left for a far one only when it is clearly more loaded.
 constexpr double kFullCostUs = 10'000;
 
+void Fade(TimePoint now, DataCentreRow& row, double service_us) {
+  const auto elapsed = static_cast<double>((now - row.sent_at).count());
+  const double factor = std::exp(-elapsed / std::max(service_us, 1.0));
+  for (double& sent : row.sent) sent *= factor;
+  row.sent_at = now;
+}
+
 }  // namespace
 
 DataCentreRow& DataCentreTable::Get(DataCentreId id) {
@@ -34,17 +42,20 @@
 }
 
 std::optional<DataCentreId> DataCentreTable::Choose(TimePoint now, ServiceId service,
-                                                    DataCentreId own) {
+                                                    DataCentreId own, double service_us) {
   DataCentreRow* best = nullptr;
   std::size_t best_service = 0;
   double best_cost = 0;
+  // The other instances of this data centre are likely to send as much.
+  const double peers = static_cast<double>(std::max<std::size_t>(1, Get(own).members.size()));
   for (DataCentreRow& row : rows_) {
     if (row.id == own || !row.in_service || row.services.empty()) continue;
     if (now > row.reported + kMaxReportAge) continue;
+    Fade(now, row, service_us);
     for (std::size_t i = 0; i < row.services.size(); ++i) {
       const ServiceLoad& load = row.services[i];
       if (load.service != service || load.usable_slots == 0) continue;
-      const double used = static_cast<double>(load.in_flight + row.sent[i]) / load.usable_slots;
+      const double used = (load.in_flight + row.sent[i] * peers) / load.usable_slots;
       if (used > 1.0 - kReserve) continue;
       const double cost = static_cast<double>(row.round_trip_us) + used * kFullCostUs;
       if (best != nullptr && cost >= best_cost) continue;
@@ -54,7 +65,7 @@
     }
   }
   if (best == nullptr) return std::nullopt;
-  ++best->sent[best_service];
+  best->sent[best_service] += 1;
   return best->id;
 }
 
