--- a/packages/core/include/dogwoodport/core/spill_over.h
+++ b/packages/core/include/dogwoodport/core/spill_over.h
@@ -33,7 +33,7 @@
   /// A load report older than this says nothing: the data centre may be cut off.
   static constexpr Duration kMaxReportAge{1'000'000};
   /// Part of a service's slots that a data centre keeps for its own callers.
-  static constexpr double kReserve = 0.15;
+  static constexpr double kReserve = 0.05;
 
   /// Returns the row, added when it is new. Complexity: linear in the data centres.
   DataCentreRow& Get(DataCentreId id);
--- a/tools/measure/routing.cc
+++ b/tools/measure/routing.cc
@@ -14,14 +14,37 @@
 using standin::FleetScenario;
 
 constexpr double kSlowdown = 10;
+constexpr std::uint64_t kSeeds = 3;
 
+/// Adds the figures of one run to those of others.
+void Merge(FleetResult& sum, const FleetResult& r) {
+  const auto append = [](std::vector<float>& to, const std::vector<float>& from) {
+    to.insert(to.end(), from.begin(), from.end());
+  };
+  append(sum.latency_us, r.latency_us);
+  append(sum.keyless_us, r.keyless_us);
+  append(sum.keyed_us, r.keyed_us);
+  for (const auto member :
+       {&FleetResult::requests, &FleetResult::refused, &FleetResult::lost, &FleetResult::attempts,
+        &FleetResult::hedges, &FleetResult::spilled, &FleetResult::probes, &FleetResult::messages,
+        &FleetResult::message_bytes, &FleetResult::over_slots, &FleetResult::moves,
+        &FleetResult::cold_failures}) {
+    sum.*member += r.*member;
+  }
+}
+
+/// Runs the scenario with several seeds, since the groups that share a feed differ by seed.
 FleetResult Run(const FleetModelSettings& fleet, std::uint64_t seed, double slowdown,
                 const SelectionPolicy& policy) {
-  FleetScenario scenario{.seed = seed, .policy = policy, .slowdown = slowdown};
-  const bool baseline = !std::holds_alternative<EvidencePolicy>(policy);
-  scenario.detect_slow = !baseline;
-  scenario.hedge = !baseline;
-  return standin::RunFleet(fleet, scenario);
+  FleetResult sum;
+  for (std::uint64_t i = 0; i < kSeeds; ++i) {
+    FleetScenario scenario{.seed = seed + i, .policy = policy, .slowdown = slowdown};
+    const bool baseline = !std::holds_alternative<EvidencePolicy>(policy);
+    scenario.detect_slow = !baseline;
+    scenario.hedge = !baseline;
+    Merge(sum, standin::RunFleet(fleet, scenario));
+  }
+  return sum;
 }
 
 void PrintRun(const std::string& name, FleetResult& r) {
