--- a/packages/core/include/dogwoodport/core/control_state.h
+++ b/packages/core/include/dogwoodport/core/control_state.h
@@ -130,6 +130,15 @@
   std::uint64_t last_offset = 0;
 };
 
+/// Which snapshots the log holds, as far as the fold has come.
+struct SnapshotProgress {
+  /// Base offset of the last snapshot whose chunks were all read; 0 for none.
+  std::uint64_t base = 0;
+  /// The snapshot that is being written, and its next chunk.
+  std::uint64_t partial_id = 0;
+  std::uint32_t next_chunk = 0;
+};
+
 /// The fold. Not thread-safe.
 ///
 /// @code
@@ -194,6 +203,9 @@
   /// The last `kMaxAuditEntries` records, oldest first.
   const std::deque<AuditEntry>& audit() const noexcept { return audit_; }
 
+  /// Base offset of the last complete snapshot in the log; 0 for none. Complexity: constant.
+  std::uint64_t snapshot_base() const noexcept { return snapshot_.base; }
+
   /// Returns the whole state as JSON text, equal for equal states. Complexity: linear.
   std::string Serialize() const;
 
@@ -230,6 +242,7 @@
   std::map<ShardId, HomedAssignment> assignments_;
   std::map<InstanceId, WriterState> writers_;
   std::deque<AuditEntry> audit_;
+  SnapshotProgress snapshot_;
 };
 
 }  // namespace dogwoodport
--- a/packages/core/include/dogwoodport/core/detail/state_fields.h
+++ b/packages/core/include/dogwoodport/core/detail/state_fields.h
@@ -73,6 +73,13 @@
   field("last_offset", self.last_offset);
 }
 
+template <typename A, Is<SnapshotProgress> T>
+void Describe(A& field, T& self) {
+  field("base", self.base);
+  field("partial_id", self.partial_id);
+  field("next_chunk", self.next_chunk);
+}
+
 namespace detail {
 
 template <>
--- a/packages/core/include/dogwoodport/core/log_follower.h
+++ b/packages/core/include/dogwoodport/core/log_follower.h
@@ -166,7 +166,6 @@
   bool ApplyRecords(const std::vector<LogRecord>& records);
   bool ApplyOne(const LogRecord& record);
   void NoteApplied(const LogRecord& record, const ApplyResult& result);
-  void NoteChunk(const SnapshotChunk& chunk);
   void Keep(const LogRecord& record);
   void Adopt(ControlState state);
   void ResolvePendingFromState();
@@ -181,6 +180,9 @@
   bool SnapshotDue(TimePoint now) const;
   std::size_t DataCentreRank() const;
   bool LogIsDown(TimePoint now) const;
+  /// Whether the reader that relays to this instance has read the log lately.
+  bool ReaderIsCurrent() const;
+  void YieldReading(TimePoint now, InstanceId other);
 
   InstanceIdentity self_;
   std::string name_;
@@ -241,11 +243,7 @@
   std::vector<WriteOutcome> outcomes_;
 
   // Snapshots in the log.
-  std::uint64_t snapshot_base_ = 0;
-  std::uint64_t partial_base_ = 0;
-  std::map<std::uint32_t, bool> partial_chunks_;
   std::optional<TimePoint> chunk_seen_;
-  std::optional<TimePoint> snapshot_seen_;
   std::optional<TimePoint> due_since_;
   std::deque<SnapshotChunk> chunks_to_write_;
   TimePoint now_;
--- a/packages/core/src/config_reader.cc
+++ b/packages/core/src/config_reader.cc
@@ -99,22 +99,22 @@
 
   /// Returns the value of an optional field, or null.
   const json* Find(const char* name) {
-    known_.insert(name);
+    known_.push_back(name);
     if (!in_.is_object()) return nullptr;
     const auto it = in_.find(name);
     return it == in_.end() ? nullptr : &*it;
   }
 
   /// Returns the value of a field that must be there, or null after a fault.
-  const json* Require(const char* name, const std::string& expectation) {
+  const json* Require(const char* name, std::string_view expectation) {
     const json* value = Find(name);
     if (value == nullptr && in_.is_object()) {
-      faults_.push_back({Pointer(name), "absent", expectation});
+      faults_.push_back({Pointer(name), "absent", std::string(expectation)});
     }
     return value;
   }
 
-  std::string Text(const char* name, const std::string& expectation, auto accept) {
+  std::string Text(const char* name, std::string_view expectation, auto accept) {
     const json* value = Require(name, expectation);
     if (value == nullptr) return {};
     if (value->is_string() && accept(value->get_ref<const std::string&>())) {
@@ -178,12 +178,13 @@
   void Finish() {
     if (!in_.is_object()) return;
     for (const auto& [name, value] : in_.items()) {
-      if (!known_.contains(name)) Fault(Pointer(name), value, "no such field");
+      const bool known = std::find(known_.begin(), known_.end(), name) != known_.end();
+      if (!known) Fault(Pointer(name), value, "no such field");
     }
   }
 
-  void Fault(const std::string& pointer, const json& value, const std::string& expectation) {
-    faults_.push_back({pointer, Show(value), expectation});
+  void Fault(const std::string& pointer, const json& value, std::string_view expectation) {
+    faults_.push_back({pointer, Show(value), std::string(expectation)});
   }
 
   std::string Pointer(std::string_view name) const { return pointer_ + "/" + EscapeToken(name); }
@@ -192,7 +193,8 @@
   const json& in_;
   std::string pointer_;
   std::vector<ConfigFault>& faults_;
-  std::set<std::string, std::less<>> known_;
+  /// Field names, which are literals; a set would allocate for each field of each target.
+  std::vector<std::string_view> known_;
 };
 
 /// Names of one kind of entity: refuses a name that was seen before or has the hash of another.
--- a/packages/core/src/control_state.cc
+++ b/packages/core/src/control_state.cc
@@ -91,14 +91,16 @@
       : state_(state), offset_(offset), record_(record), audit_(audit) {}
 
   ApplyResult operator()(const ConfigChange& change) {
-    return Publish(change.expected_version, [&] { return change.document; });
+    return Publish(change.expected_version, [&]() -> const json& { return change.document; });
   }
 
   ApplyResult operator()(const ConfigPatch& change) {
     if (std::string fault = PatchFault(change.operations); !fault.empty()) return Refused(fault);
     return Publish(change.expected_version, [&] {
       const std::string& text = state_.document_;
-      return json::parse(text.empty() ? "{}" : text).patch(change.operations);
+      json document = json::parse(text.empty() ? "{}" : text);
+      document.patch_inplace(change.operations);
+      return document;
     });
   }
 
@@ -196,8 +198,19 @@
     return result;
   }
 
-  /// A snapshot describes the state and does not change it.
-  ApplyResult operator()(const SnapshotChunk& /*chunk*/) { return {}; }
+  /// A snapshot describes the state; only its progress is noted.
+  ApplyResult operator()(const SnapshotChunk& chunk) {
+    SnapshotProgress& progress = state_.snapshot_;
+    if (chunk.base_offset <= progress.base) return {};
+    if (chunk.index == 0) {
+      progress.partial_id = chunk.id;
+      progress.next_chunk = 0;
+    }
+    if (chunk.id != progress.partial_id || chunk.index != progress.next_chunk) return {};
+    ++progress.next_chunk;
+    if (progress.next_chunk == chunk.count) progress.base = chunk.base_offset;
+    return {};
+  }
 
  private:
   /// Publishes the document that `make` returns, if `expected` is current and it is valid.
@@ -208,7 +221,7 @@
     audit_.to = VersionText(version + 1);
     if (expected != version) return Stale("version", expected, version);
     try {
-      const json document = make();
+      const json& document = make();
       Config config = ReadConfig(document, record_.time_ms);
       if (std::string fault = ShardCountFault(*state_.config_, config); !fault.empty()) {
         return Refused(fault);
@@ -578,6 +591,7 @@
     field("assignments", self.assignments_);
     field("writers", self.writers_);
     field("audit", self.audit_);
+    field("snapshot", self.snapshot_);
   }
 };
 
--- a/packages/core/src/log_follower.cc
+++ b/packages/core/src/log_follower.cc
@@ -48,6 +48,13 @@
   if (read.from == kFarEnd) return OnBounds(now, page);
   if (scan_ && read.from == scan_->next) return OnScanPage(now, page);
   if (scan_ || stopped_at_) return;
+  // The reader of the data centre is cut off from the log and this instance is not.
+  if (!reader_ && !ReaderIsCurrent()) reader_ = true;
+  if (!loaded_ && page.first_retained < state_.next_offset()) {
+    // The log begins below the offset at which an empty state expects its first record.
+    state_ = ControlState(page.first_retained);
+    return;
+  }
   const std::uint64_t before = state_.next_offset();
   const bool gap = ApplyRecords(page.records);
   const bool nothing = page.records.empty() && page.next > read.from && read.from == before;
@@ -95,7 +102,6 @@
       const Record decoded = DecodeRecord(record.data);
       const auto* chunk = std::get_if<SnapshotChunk>(&decoded.body);
       if (chunk == nullptr) continue;
-      NoteChunk(*chunk);
       if (auto fault = log_snapshots_.Add(*chunk, unix_ms_)) NoteFault(*fault);
     } catch (const RecordError&) {
       // Only snapshots matter here; the fold judges the record if it gets there.
@@ -128,12 +134,7 @@
 bool LogFollower::ApplyRecords(const std::vector<LogRecord>& records) {
   for (const LogRecord& record : records) {
     if (record.offset < state_.next_offset()) continue;
-    if (record.offset > state_.next_offset()) {
-      // A log whose first record is not at offset 1 is followed from its beginning.
-      const bool beginning = !loaded_ && record.offset <= 1;
-      if (!beginning) return true;
-      state_ = ControlState(record.offset);
-    }
+    if (record.offset > state_.next_offset()) return true;
     if (!ApplyOne(record)) return false;
   }
   return false;
@@ -160,7 +161,7 @@
   if (pending_.empty() && !has_chunk) return;
   try {
     const Record decoded = DecodeRecord(record.data);
-    if (const auto* chunk = std::get_if<SnapshotChunk>(&decoded.body)) NoteChunk(*chunk);
+    if (IsChunk(decoded.body)) chunk_seen_ = now_;
     if (decoded.writer != self_.id || decoded.incarnation != self_.incarnation) return;
     const auto it = pending_.find(decoded.sequence);
     if (it == pending_.end()) return;
@@ -171,20 +172,6 @@
   }
 }
 
-void LogFollower::NoteChunk(const SnapshotChunk& chunk) {
-  chunk_seen_ = now_;
-  if (chunk.base_offset <= snapshot_base_ || chunk.base_offset < partial_base_) return;
-  if (chunk.base_offset > partial_base_) {
-    partial_base_ = chunk.base_offset;
-    partial_chunks_.clear();
-  }
-  partial_chunks_[chunk.index] = true;
-  if (partial_chunks_.size() < chunk.count) return;
-  snapshot_base_ = chunk.base_offset;
-  snapshot_seen_ = now_;
-  partial_chunks_.clear();
-}
-
 void LogFollower::Keep(const LogRecord& record) {
   recent_.push_back(record);
   recent_bytes_ += record.data.size();
@@ -256,6 +243,20 @@
   if (now - last_relay_heard_ > patience) reader_ = true;
 }
 
+bool LogFollower::ReaderIsCurrent() const {
+  return relayed_log_age_us_ >= 0 && Duration(relayed_log_age_us_) <= kLogDownAfter;
+}
+
+/// Leaves reading to the coordinator or to a reader with a lower id, unless the log answers this
+/// instance alone.
+void LogFollower::YieldReading(TimePoint now, InstanceId other) {
+  if (coordinator_) return;
+  const Delegation* delegation = state_.delegation(self_.data_centre);
+  const bool first = other < self_.id || (delegation && delegation->coordinator == other);
+  const bool own_current = last_read_ && now - *last_read_ <= kLogDownAfter;
+  if (first && (ReaderIsCurrent() || !own_current)) reader_ = false;
+}
+
 bool LogFollower::LogIsDown(TimePoint now) const {
   return !last_contact_ || now - *last_contact_ > kLogDownAfter;
 }
@@ -273,8 +274,11 @@
   if (!reader_ && !probing) return;
   if (reads_.size() >= kMaxReadsInFlight) return;
   if (last_read_sent_ && now - *last_read_sent_ < ReadInterval()) return;
-  const bool scan_wait = last_scan_ && now - *last_scan_ < kScanInterval;
-  if (need_bounds_ && !scan_wait) return SendRead(now, kFarEnd, 0);
+  if (need_bounds_) {
+    const bool rested = !last_scan_ || now - *last_scan_ >= kScanInterval;
+    if (rested) SendRead(now, kFarEnd, 0);
+    return;
+  }
   SendRead(now, scan_ ? scan_->next : state_.next_offset(), kReadMax);
 }
 
@@ -317,10 +321,7 @@
   if (message.is_reader) {
     last_relay_heard_ = now;
     relayed_log_age_us_ = message.log_age_us;
-    const bool current = message.log_age_us >= 0 && Duration(message.log_age_us) <= kLogDownAfter;
-    // A substitute goes on only if the log does not answer the other reader.
-    const bool own_current = last_read_ && now - *last_read_ <= kLogDownAfter;
-    if (!coordinator_ && (current || !own_current)) reader_ = false;
+    YieldReading(now, from);
     if (message.log_age_us >= 0) {
       const TimePoint contact = now - Duration(message.log_age_us);
       last_contact_ = std::max(contact, last_contact_.value_or(contact));
@@ -337,7 +338,9 @@
   }
   if (reader_ && advanced) Relay(now, before, out);
   if (!stopped_at_ && message.next_offset > state_.next_offset()) {
-    const bool wait = last_request_ && !advanced && now - *last_request_ < kPollInterval;
+    // A snapshot that is under way is not asked for once more.
+    const Duration rest = peer_snapshot_id_ != 0 ? kCatchUpTimeout : kPollInterval;
+    const bool wait = last_request_ && !advanced && now - *last_request_ < rest;
     if (!wait) RequestCatchUp(now, from, out);
   }
   UpdateReady(now);
@@ -432,8 +435,7 @@
   if (ready_ || stopped_at_ || scan_) return;
   const bool log_is_down = LogIsDown(now);
   if (!log_is_down) {
-    const bool caught_up = log_next_ > 0 && state_.next_offset() >= log_next_;
-    ready_ = caught_up;
+    ready_ = state_.next_offset() >= log_next_;
     return;
   }
   // Without the log, the newest state among those that are ready is the current one.
@@ -483,7 +485,9 @@
   appending_.clear();
   append_not_before_.reset();
   // The own record is in the log; the next read need not wait for the poll.
-  if (reader_) last_read_sent_ = std::min(*last_read_sent_, now - kPollInterval);
+  if (reader_ && last_read_sent_) {
+    last_read_sent_ = std::min(*last_read_sent_, now - kPollInterval);
+  }
 }
 
 void LogFollower::OnAppendFailed(TimePoint now, std::uint64_t id, LogFailure failure) {
@@ -501,13 +505,13 @@
 
 bool LogFollower::SnapshotDue(TimePoint now) const {
   const std::uint64_t next = state_.next_offset();
-  const std::uint64_t since = next - std::max<std::uint64_t>(snapshot_base_, 1);
-  const bool rested = !snapshot_seen_ || now - *snapshot_seen_ >= kSnapshotInterval;
+  const std::uint64_t base = state_.snapshot_base();
+  const std::uint64_t since = next - std::max<std::uint64_t>(base, 1);
+  const bool rested = !chunk_seen_ || now - *chunk_seen_ >= kSnapshotInterval;
   if (since >= kSnapshotRecords && rested) return true;
   // The log forgets records: the snapshot must not fall into the older half of what it keeps.
   const bool forgets = first_retained_ > 1;
-  return forgets && next > first_retained_ &&
-         snapshot_base_ < first_retained_ + (next - first_retained_) / 2;
+  return forgets && next > first_retained_ && base < first_retained_ + (next - first_retained_) / 2;
 }
 
 std::size_t LogFollower::DataCentreRank() const {
--- a/standin/include/dogwoodport/standin/state_cluster.h
+++ b/standin/include/dogwoodport/standin/state_cluster.h
@@ -72,8 +72,8 @@
 
   /// Cuts a data centre off from the others, or reconnects it.
   void SetPartitioned(const std::string& data_centre, bool partitioned);
-  /// Cuts a data centre off from the log, or reconnects it.
-  void SetLogReachable(const std::string& data_centre, bool reachable);
+  /// Cuts a data centre or an instance off from the log, or reconnects it.
+  void SetLogReachable(const std::string& name, bool reachable);
   void Pause(const std::string& name, Duration span);
   void Kill(const std::string& name);
   /// Starts the instance with a new incarnation and an empty state.
--- a/standin/src/state_cluster.cc
+++ b/standin/src/state_cluster.cc
@@ -158,7 +158,7 @@
   LogFollower& follower = *nodes_[index].follower;
   const bool is_read = std::holds_alternative<LogRead>(request);
   try {
-    if (log_cut_.contains(nodes_[index].data_centre)) {
+    if (log_cut_.contains(nodes_[index].data_centre) || log_cut_.contains(nodes_[index].name)) {
       throw LogServiceError(LogFailure::kUnreachable, "cut off");
     }
     if (const auto* append = std::get_if<LogAppend>(&request)) {
@@ -202,11 +202,11 @@
   }
 }
 
-void StateCluster::SetLogReachable(const std::string& data_centre, bool reachable) {
+void StateCluster::SetLogReachable(const std::string& name, bool reachable) {
   if (reachable) {
-    log_cut_.erase(data_centre);
+    log_cut_.erase(name);
   } else {
-    log_cut_.insert(data_centre);
+    log_cut_.insert(name);
   }
 }
 
--- a/tests/core/unit-log_follower.cpp
+++ b/tests/core/unit-log_follower.cpp
@@ -154,7 +154,26 @@
   run.CheckEqualStates();
 }
 
-TEST_CASE("only the coordinator's data centre is partitioned, then returns") {
+TEST_CASE("only the reader of a data centre is cut off from the log") {
+  // Guards against a data centre that is stale since its one reader has no route to the log.
+  Started run;
+  run.cluster.SetLogReachable("howrah-1", false);
+  for (const char* name : {"barasat", "bowbazar", "serampore"}) {
+    run.cluster.SetPartitioned(name, true);
+  }
+  run.cluster.RunFor(seconds(8));
+  const int readers = run.Readers("howrah");
+  CHECK(readers >= 1);
+  CHECK(readers <= 2);
+  CHECK(run.cluster.node("howrah-1").follower->is_reader());
+  run.cluster.Publish("asha", ConfigChange{1, DocumentWithRate(50)});
+  CHECK(run.Await(2) <= seconds(3));
+  run.cluster.SetLogReachable("howrah-1", true);
+  run.cluster.RunFor(seconds(3));
+  CHECK(run.Readers("howrah") == 1);
+}
+
+TEST_CASE("a data centre is partitioned, then returns") {
   Started run;
   run.cluster.SetPartitioned("howrah", true);
   run.cluster.SetLogReachable("howrah", false);
@@ -221,6 +240,26 @@
   run.CheckEqualStates();
 }
 
+TEST_CASE("a log that begins at offset 0 is followed from its first record") {
+  const InstanceIdentity self{InstanceId{1}, Incarnation{1}, DataCentreId{1}};
+  Membership membership(self, TimePoint{});
+  LogFollower follower(self, "i", TimePoint{});
+  const std::string text = EncodeRecord(
+      {InstanceId{2}, Incarnation{1}, 1, "a", "", 0, ConfigChange{0, DocumentWithRate(50)}});
+  Outbox out;
+  for (TimePoint now{}; now < TimePoint{seconds(2)}; now += milliseconds(20)) {
+    follower.Tick(now, 0, membership, out);
+    for (const LogRequest& request : follower.TakeRequests()) {
+      const auto& read = std::get<LogRead>(request);
+      LogPage page{0, 1, {}};
+      if (read.from == 0) page.records.push_back({0, text});
+      follower.OnRead(now, read.id, page, out);
+    }
+  }
+  CHECK(follower.ready());
+  CHECK(follower.state().config()->version == 1);
+}
+
 TEST_CASE("all instances restart after the log forgot its beginning") {
   // Guards against a state that lives only in the instances: they may all be replaced at any time.
   Started run;
