--- a/packages/core/include/dogwoodport/core/log_follower.h
+++ b/packages/core/include/dogwoodport/core/log_follower.h
@@ -75,6 +75,14 @@
   std::optional<ApplyResult> result;
 };
 
+/// What has changed in the control state since the last call of `LogFollower::TakeChanges`.
+struct StateChanges {
+  /// The whole state was replaced by a snapshot; `applied` holds the records after it.
+  bool replaced = false;
+  /// Records that took effect, with their offsets, in the order of the log.
+  std::vector<std::pair<std::uint64_t, Record>> applied;
+};
+
 /// The follower. Not thread-safe.
 ///
 /// @code
@@ -106,6 +114,9 @@
   /// Removes and returns the requests to make of the log service.
   std::vector<LogRequest> TakeRequests() { return std::exchange(requests_, {}); }
 
+  /// Removes and returns what has changed in the control state.
+  StateChanges TakeChanges() { return std::exchange(changes_, {}); }
+
   /// Removes and returns the outcomes of own writes.
   std::vector<WriteOutcome> TakeOutcomes() { return std::exchange(outcomes_, {}); }
 
@@ -239,6 +250,7 @@
   std::optional<TimePoint> append_not_before_;
   std::vector<LogRequest> requests_;
   std::vector<WriteOutcome> outcomes_;
+  StateChanges changes_;
 
   // Snapshots in the log.
   std::uint64_t snapshot_base_ = 0;
--- a/packages/core/include/dogwoodport/core/ownership_settings.h
+++ b/packages/core/include/dogwoodport/core/ownership_settings.h
@@ -21,7 +21,7 @@
 /// Greatest difference of rate between two clocks, in parts per hundred.
 inline constexpr int kClockDriftPercent = 1;
 /// A tick that comes this much after the last one shows that the process was paused.
-inline constexpr Duration kPauseGap{250'000};
+inline constexpr Duration kPermitPauseGap{250'000};
 /// Silence of the coordinator after which a member proposes a delegation.
 inline constexpr Duration kCoordinatorTimeout{1'000'000};
 /// Largest delay between members that propose a delegation, by rank.
@@ -45,7 +45,7 @@
 struct OwnershipSettings {
   Duration permit_duration = kPermitDuration;
   Duration renewal_interval = kRenewalInterval;
-  Duration pause_gap = kPauseGap;
+  Duration pause_gap = kPermitPauseGap;
   Duration coordinator_timeout = kCoordinatorTimeout;
   Duration proposer_delay = kProposerDelay;
   Duration delegation_record_time = kDelegationRecordTime;
--- a/packages/core/include/dogwoodport/core/target_table.h
+++ b/packages/core/include/dogwoodport/core/target_table.h
@@ -51,7 +51,7 @@
 };
 
 /// Load report of a target, used to break ties.
-struct LoadReport {
+struct LoadReading {
   std::uint32_t in_flight = 0;
   TimePoint measured;
   /// Distrusted reports are ignored until this time.
@@ -80,7 +80,7 @@
 
   double latency_us = 0;
   double error_rate = 0;
-  LoadReport report;
+  LoadReading report;
   ColdStartRamp ramp;
   std::uint64_t boot = 0;
   HealthState health = HealthState::kReady;
--- a/packages/core/src/log_follower.cc
+++ b/packages/core/src/log_follower.cc
@@ -156,10 +156,11 @@
 
 /// Resolves own writes and notes snapshots among the records that were just folded.
 void LogFollower::NoteApplied(const LogRecord& record, const ApplyResult& result) {
-  const bool has_chunk = record.data.find("\"snapshot_chunk\"") != std::string::npos;
-  if (pending_.empty() && !has_chunk) return;
   try {
     const Record decoded = DecodeRecord(record.data);
+    if (result.outcome == ApplyOutcome::kApplied && !IsChunk(decoded.body)) {
+      changes_.applied.emplace_back(record.offset, decoded);
+    }
     if (const auto* chunk = std::get_if<SnapshotChunk>(&decoded.body)) NoteChunk(*chunk);
     if (decoded.writer != self_.id || decoded.incarnation != self_.incarnation) return;
     const auto it = pending_.find(decoded.sequence);
@@ -198,6 +199,7 @@
 void LogFollower::Adopt(ControlState state) {
   if (loaded_ && state.next_offset() <= state_.next_offset()) return;
   state_ = std::move(state);
+  changes_ = StateChanges{true, {}};
   loaded_ = true;
   stopped_at_.reset();
   fault_.clear();
--- a/packages/core/src/target_selector.cc
+++ b/packages/core/src/target_selector.cc
@@ -37,7 +37,7 @@
 }
 
 double ReportedLoad(const TargetRow& row, TimePoint now) noexcept {
-  const LoadReport& report = row.report;
+  const LoadReading& report = row.report;
   const bool usable =
       report.known && now >= report.distrusted_until && now < report.measured + kMaxReportAge;
   const std::uint32_t n =
