Put all systems of an instance behind the router

The router decided with a stand-in rule. It now owns membership, log follower, ownership, limits, orders, routing, quarantine and retries, and gives the daemon one interface of events and steps.

--- /dev/null
+++ b/packages/core/include/dogwoodport/core/detail/systems.h
@@ -0,0 +1,96 @@
+#pragma once
+
+/// @file
+/// The systems of one instance and how the control state reaches them.
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "dogwoodport/core/delegation_proposer.h"
+#include "dogwoodport/core/limits.h"
+#include "dogwoodport/core/log_follower.h"
+#include "dogwoodport/core/membership.h"
+#include "dogwoodport/core/orders.h"
+#include "dogwoodport/core/ownership.h"
+#include "dogwoodport/core/quarantine.h"
+#include "dogwoodport/core/retry_policy.h"
+#include "dogwoodport/core/routing.h"
+#include "dogwoodport/core/secret_store.h"
+
+namespace dogwoodport::detail {
+
+/// Identity and rules that the systems need.
+struct SystemSettings {
+  InstanceIdentity self;
+  std::string name;
+  SecretSettings secrets;
+  /// All other instances that the settings name.
+  std::vector<InstanceId> peers;
+};
+
+/// All systems of one instance except the requests themselves. Not thread-safe.
+class Systems {
+ public:
+  Systems(const SystemSettings& settings, TimePoint now);
+
+  /// Passes a message to its system; messages of no system here are ignored.
+  void OnMessage(TimePoint now, InstanceId from, const Message& message, Outbox& out);
+
+  /// Runs all systems. `unix_ms` is the wall clock.
+  void Tick(TimePoint now, std::int64_t unix_ms, bool leaving, Outbox& out);
+
+  /// Tells the systems what has changed in the control state. Call after each event that may have
+  /// applied records.
+  void Sync(TimePoint now, Outbox& out);
+
+  /// Gives up permits and tokens at shutdown.
+  void Shutdown(TimePoint now);
+
+  /// Orders of the permit group of a data centre.
+  Orders& OrdersOf(DataCentreId data_centre);
+
+  /// Whether the instance holds the current state and a valid permit.
+  bool Ready(TimePoint now) const;
+
+  /// Data centres that may receive work, in the order of the configuration.
+  std::vector<DataCentreId> InService() const;
+
+  const Config& config() const noexcept { return *follower.state().config(); }
+
+  /// Removes and returns the grants to send to targets.
+  std::vector<GrantRequest> TakeGrants() { return std::exchange(grants_, {}); }
+
+  SystemSettings settings;
+  Membership membership;
+  LogFollower follower;
+  DelegationProposer proposer;
+  Ownership ownership;
+  Routing routing;
+  Limits limits;
+  Quarantine quarantine;
+  RetryPolicy retries;
+  SecretStore secrets;
+
+ private:
+  void SyncConfig(TimePoint now);
+  void SyncAll(TimePoint now, Outbox& out);
+  void Apply(TimePoint now, std::uint64_t offset, const RecordBody& body, Outbox& out);
+  void ApplyDelegation(TimePoint now, const Delegation& delegation, Outbox& out);
+  void ApplyDataCentre(TimePoint now, DataCentreId id, DataCentreState state);
+  void SubmitRecords(TimePoint now);
+  void SubmitQuarantine();
+  void Propose(TimePoint now);
+  void SharePermit(TimePoint now);
+
+  std::map<DataCentreId, Orders> orders_;
+  /// Delegations of each data centre within kOrderWindow, newest first.
+  std::map<DataCentreId, std::vector<Delegation>> history_;
+  std::shared_ptr<const Config> config_;
+  std::deque<OwnershipRecord> unsubmitted_;
+  std::vector<GrantRequest> grants_;
+  std::int64_t unix_ms_ = 0;
+};
+
+}  // namespace dogwoodport::detail
--- a/packages/core/include/dogwoodport/core/forward_messages.h
+++ b/packages/core/include/dogwoodport/core/forward_messages.h
@@ -19,12 +19,16 @@
   std::string request_id;
   AccountId account;
   std::string account_name;
-  RouteId route;
   /// Time that the request may still take, in microseconds from its arrival at the receiver.
   std::int64_t remaining_us = 0;
+  /// Instances that have passed the request on; bounds the way of a request whose home moves.
+  std::uint32_t hops = 0;
+  /// `Dogwood-First-Sent` of the caller, 0 if absent.
+  std::int64_t first_sent_ms = 0;
   Request request;
 
-  MSGPACK_DEFINE_ARRAY(forward_id, request_id, account, account_name, route, remaining_us, request)
+  MSGPACK_DEFINE_ARRAY(forward_id, request_id, account, account_name, remaining_us, hops,
+                       first_sent_ms, request)
 };
 
 /// The outcome of a forwarded request.
--- a/packages/core/include/dogwoodport/core/router.h
+++ b/packages/core/include/dogwoodport/core/router.h
@@ -14,13 +14,22 @@
 #include <vector>
 
 #include "dogwoodport/core/control_state.h"
+#include "dogwoodport/core/log_page.h"
+#include "dogwoodport/core/membership.h"
 #include "dogwoodport/core/message.h"
 #include "dogwoodport/core/request.h"
 #include "dogwoodport/core/route_matcher.h"
+#include "dogwoodport/core/routing.h"
+#include "dogwoodport/core/secret_store.h"
+#include "dogwoodport/core/target_leases.h"
 #include "dogwoodport/core/types.h"
 
 namespace dogwoodport {
 
+namespace detail {
+class Systems;
+}  // namespace detail
+
 /// Number of a request at this instance; chosen by the router.
 using RequestHandle = std::uint64_t;
 
@@ -39,6 +48,9 @@
   std::vector<RouterPeer> peers;
   /// Longest deadline that a caller may ask for.
   Duration max_deadline{60'000'000};
+  /// Requests that wait for a target or an owner at once; further ones are refused.
+  std::size_t max_waiting = 1024;
+  SecretSettings secrets;
 };
 
 /// Send the request to a target and report the outcome with the same handle and attempt.
@@ -105,6 +117,9 @@
   RunState run = RunState::kNo;
   bool new_connection = false;
   std::string text;
+  /// After the loss of a connection: whether the target refuses new ones, so that its process has
+  /// ended.
+  bool target_gone = false;
 };
 
 using AttemptOutcome = std::variant<TargetAnswered, TargetFailed>;
@@ -115,6 +130,31 @@
   Request request;
 };
 
+/// Read the health and the load of a target on a new connection and report them.
+struct ProbeTarget {
+  TargetId target;
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+/// Send grants to a target and report its answer.
+struct SendGrants {
+  std::string host;
+  std::uint16_t port = 0;
+  GrantRequest request;
+  /// Names of the services in `request`, in the order of its grants.
+  std::vector<std::string> services;
+};
+
+/// What the router asks its caller to do besides sending messages and steps.
+struct RouterWork {
+  std::vector<LogRequest> log;
+  std::vector<ProbeTarget> probes;
+  std::vector<SendGrants> grants;
+  /// Requests whose running attempt is to be cut short.
+  std::vector<RequestHandle> cancelled;
+};
+
 /// Totals since the start, for the metrics.
 struct RouterCounters {
   std::uint64_t requests = 0;
@@ -123,6 +163,7 @@
   std::uint64_t forwarded_in = 0;
   std::uint64_t attempts = 0;
   std::uint64_t retries = 0;
+  std::uint64_t connections_lost = 0;
 };
 
 /// Decides everything about requests at one instance. Not thread-safe.
@@ -133,7 +174,7 @@
 /// @endcode
 class Router {
  public:
-  explicit Router(RouterSettings settings);
+  Router(RouterSettings settings, TimePoint now);
   ~Router();
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
@@ -148,22 +189,32 @@
   Step OnAttempt(TimePoint now, RequestHandle handle, std::uint32_t attempt,
                  AttemptOutcome outcome);
 
-  /// The caller of a waiting request has left.
-  void OnCallerLeft(TimePoint now, RequestHandle handle);
+  /// The caller of a waiting request has left. Returns whether the request was given up; an order
+  /// is not.
+  bool OnCallerLeft(TimePoint now, RequestHandle handle);
 
   void OnMessage(TimePoint now, InstanceId from, Incarnation incarnation, Message message);
 
   /// A message could not be sent.
   void OnSendFailed(TimePoint now, InstanceId to, const Message& message);
 
-  /// Takes records read from the log, which begin at `ControlState::next_offset`.
-  void OnLogRecords(TimePoint now, std::int64_t unix_ms,
-                    const std::vector<std::pair<std::uint64_t, std::string>>& records);
+  /// Outcomes of `RouterWork`.
+  void OnLogRead(TimePoint now, std::uint64_t id, const LogPage& page);
+  void OnLogReadFailed(TimePoint now, std::uint64_t id, LogFailure failure);
+  void OnLogAppended(TimePoint now, std::uint64_t id);
+  void OnLogAppendFailed(TimePoint now, std::uint64_t id, LogFailure failure);
+  void OnHealth(TimePoint now, TargetId target, const HealthReport& report);
+  void OnLoad(TimePoint now, TargetId target, std::uint32_t in_flight, Duration age);
+  void OnGrantReply(TimePoint now, const GrantReply& reply);
+  void OnPlatformList(TimePoint now, const std::vector<PlatformMember>& list);
+
+  /// Advances everything that depends on time. Call it every 10 ms. `unix_ms` is the wall clock.
+  void Tick(TimePoint now, std::int64_t unix_ms);
 
-  /// Advances everything that depends on time. Call it every 10 ms.
-  void Tick(TimePoint now);
+  /// Reports not ready from now on; running and arriving requests are still served.
+  void BeginShutdown(TimePoint now);
 
-  /// Reports not ready from now on and gives up permits and tokens.
+  /// Gives up permits and tokens. Call when no request is left.
   void Shutdown(TimePoint now);
 
   /// Returns whether the instance can serve.
@@ -171,8 +222,12 @@
 
   std::vector<ReadyStep> TakeReady();
   std::vector<Envelope> TakeEnvelopes();
+  RouterWork TakeWork();
 
   const ControlState& state() const noexcept;
+  /// The systems, for the operators' pages and tests.
+  detail::Systems& systems() noexcept;
+  const detail::Systems& systems() const noexcept;
   RouterCounters counters() const noexcept;
   std::size_t requests_in_progress() const noexcept;
 
