--- a/packages/core/src/routing.cc
+++ b/packages/core/src/routing.cc
@@ -127,9 +127,10 @@
 Choice Routing::ChooseAny(TimePoint now, const RouteRequest& request, ServiceRow& service,
                           Outbox& out) {
   if (!OwnInService()) {
-    const auto other = request.forwarded || !settings_.spill_over
-                           ? std::nullopt
-                           : data_centres_.Choose(now, service.id, settings_.data_centre);
+    const auto other =
+        request.forwarded || !settings_.spill_over
+            ? std::nullopt
+            : data_centres_.Choose(now, service.id, settings_.data_centre, service.baseline_us);
     if (other) return SpillOver{*other};
     return Refused{RefusalReason::kWithdrawn, kRetryAfter};
   }
@@ -152,7 +153,8 @@
   BorrowFor(now, service, out);
   if (lendable && waited < kBorrowWait) return Wait{now + kAskAgain / 2};
   if (!request.forwarded && settings_.spill_over) {
-    const auto other = data_centres_.Choose(now, service.id, settings_.data_centre);
+    const auto other =
+        data_centres_.Choose(now, service.id, settings_.data_centre, service.baseline_us);
     if (other) return SpillOver{*other};
   }
   if (Micros(waited) >= kSlowWait * service.baseline_us) {
@@ -433,7 +435,7 @@
     row.ramp.Merge(now, evidence.ramp_episode, evidence.ramp_limit);
     if (!settings_.detect_slow) continue;
     const auto state = static_cast<SlowState>(evidence.slow_state & 3);
-    detector_.OnPeerState(now, table_, *index, state);
+    detector_.OnPeerState(now, table_, *index, state, evidence.slow_episode);
   }
 }
 
@@ -496,6 +498,7 @@
   return EvidenceRow{.target = row.config.id,
                      .in_flight = static_cast<std::uint32_t>(row.attempts.size()),
                      .slow_state = static_cast<std::uint8_t>(row.slow),
+                     .slow_episode = row.slow_episode,
                      .ramp_episode = row.ramp.episode(),
                      .ramp_limit = row.ramp.step()};
 }
