Run all systems in dogwoodd and add the operators' pages and metrics

The daemon calls the log service, probes targets and sends grants on two thread pools. An instance reports ready only when its share of the tokens is in force; before, the demonstration's first requests after start-up were refused with 429.

--- a/packages/core/include/dogwoodport/core/limits.h
+++ b/packages/core/include/dogwoodport/core/limits.h
@@ -45,12 +45,12 @@
 struct Queued {};
 
 /// The request gets its refusal now; nothing was run.
-struct Refused {
+struct LimitRefused {
   Duration retry_after{0};
   LimitReason reason = LimitReason::kNoTokens;
 };
 
-using Admission = std::variant<Admitted, Queued, Refused>;
+using Admission = std::variant<Admitted, Queued, LimitRefused>;
 
 /// Outcome of a request that was `Queued`; never `Queued` itself.
 struct LimitDecision {
@@ -214,7 +214,7 @@
   void Activate(Account& account);
   void ServeWaiting(Account& account, TimePoint now);
   void RefuseWaiting(Account& account, LimitReason reason);
-  Refused MakeRefusal(Account& account, LimitReason reason);
+  LimitRefused MakeRefusal(Account& account, LimitReason reason);
   bool UsesExchange() const;
   bool IsExchange(AccountId account) const;
   std::vector<InstanceId> Candidates(AccountId account) const;
--- a/packages/core/include/dogwoodport/core/route_matcher.h
+++ b/packages/core/include/dogwoodport/core/route_matcher.h
@@ -36,4 +36,8 @@
 /// Complexity: linear.
 std::optional<std::string> DecodePercent(std::string_view text);
 
+/// Returns the decoded value of a query parameter, or nothing when it is absent or malformed.
+/// Complexity: linear.
+std::optional<std::string> QueryValue(std::string_view uri, std::string_view parameter);
+
 }  // namespace dogwoodport
--- a/packages/core/src/delegation_proposer.cc
+++ b/packages/core/src/delegation_proposer.cc
@@ -95,8 +95,7 @@
   }
   const Delegation* current = state.delegation(self_.data_centre);
   const bool lost = current != nullptr && CoordinatorLost(now, membership, *current);
-  const bool coordinates =
-      current != nullptr && !lost && current->coordinator == self_.id;
+  const bool coordinates = current != nullptr && !lost && current->coordinator == self_.id;
   const bool changed = coordinates && current->members != group;
   if (current != nullptr && !lost && !changed) {
     due_since_.reset();
--- a/packages/core/src/limits.cc
+++ b/packages/core/src/limits.cc
@@ -230,18 +230,18 @@
          needed <= account.burst;
 }
 
-Refused Limits::MakeRefusal(Account& account, LimitReason reason) {
+LimitRefused Limits::MakeRefusal(Account& account, LimitReason reason) {
   ++account.refused;
-  if (reason == LimitReason::kNoPermit) return Refused{kNoPermitRetry, reason};
+  if (reason == LimitReason::kNoPermit) return LimitRefused{kNoPermitRetry, reason};
   const double needed = static_cast<double>(account.waiting.size()) + 1;
   const double wait = account.rate > 0 ? std::min(needed / account.rate, 3600.0) : 3600.0;
-  return Refused{FromSeconds(wait), reason};
+  return LimitRefused{FromSeconds(wait), reason};
 }
 
 Admission Limits::Admit(TimePoint now, AccountId account_id, std::uint64_t request,
                         TimePoint deadline) {
   const auto it = accounts_.find(account_id);
-  if (it == accounts_.end()) return Refused{Duration{0}, LimitReason::kUnknownAccount};
+  if (it == accounts_.end()) return LimitRefused{Duration{0}, LimitReason::kUnknownAccount};
   Account& account = *it->second;
   if (!Usable(now)) return MakeRefusal(account, LimitReason::kNoPermit);
   AddDemand(account, now, 1);
--- a/packages/core/src/route_matcher.cc
+++ b/packages/core/src/route_matcher.cc
@@ -66,14 +66,7 @@
 }
 
 std::optional<std::string> FindKey(const KeyInQuery& location, const Request& request) {
-  std::optional<std::string> key;
-  Split(QueryOf(request.uri), '&', [&](std::string_view item) {
-    const std::size_t at = item.find('=');
-    if (at == std::string_view::npos || item.substr(0, at) != location.parameter) return true;
-    key = DecodePercent(item.substr(at + 1));
-    return false;
-  });
-  return key;
+  return QueryValue(request.uri, location.parameter);
 }
 
 std::optional<std::string> FindKey(const KeyInHeader& location, const Request& request) {
@@ -102,6 +95,17 @@
   return out;
 }
 
+std::optional<std::string> QueryValue(std::string_view uri, std::string_view parameter) {
+  std::optional<std::string> value;
+  Split(QueryOf(uri), '&', [&](std::string_view item) {
+    const std::size_t at = item.find('=');
+    if (at == std::string_view::npos || item.substr(0, at) != parameter) return true;
+    value = DecodePercent(item.substr(at + 1));
+    return false;
+  });
+  return value;
+}
+
 std::variant<RouteMatch, RouteFault> MatchRoute(const Config& config, const Request& request) {
   const std::string_view path = PathOf(request.uri);
   if (path.empty() || path.front() != '/' || HasDotSegment(path)) {
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -150,8 +150,7 @@
       }
       SetAccount(p, std::get<AccountId>(secret));
     }
-    if (!p.match.route->repeatable &&
-        FindField(in.request.fields, "Idempotency-Key") == nullptr) {
+    if (!p.match.route->repeatable && FindField(in.request.fields, "Idempotency-Key") == nullptr) {
       return Refuse({400, "idempotency_key_missing", "the route needs an Idempotency-Key"},
                     in.request_id);
     }
@@ -184,11 +183,12 @@
     Pending* p = Find(handle);
     if (p == nullptr || p->attempts != attempt) return Finish{};
     p->attempt_running = false;
+    const ServiceId service = p->match.service->id;
     Step step = std::holds_alternative<TargetAnswered>(outcome)
                     ? OnAnswered(now, *p, std::get<TargetAnswered>(std::move(outcome)))
                     : OnFailed(now, *p, std::get<TargetFailed>(outcome));
     TakeOrderActions(now);
-    ServeWaiting(now);
+    ServeWaiting(now, service);
     return step;
   }
 
@@ -385,9 +385,11 @@
       return EndRefused(p, *refused);
     }
     p.admitting = true;
+    // The decision may end the request, so nothing of it is used afterwards.
+    const TimePoint until = p.deadline;
     systems_.limits.Tick(now, outbox_);
     TakeLimitDecisions(now);
-    return WaitForStep{p.deadline};
+    return WaitForStep{until};
   }
 
   Step EndRefused(Pending& p, const LimitRefused& refused) {
@@ -430,8 +432,7 @@
 
   Step PlaceByKey(TimePoint now, Pending& p) {
     if (!p.match.service->keyed) return ChooseTarget(now, p, std::nullopt);
-    const Owner owner =
-        systems_.ownership.FindOwnerByHash(now, p.match.service->id, p.key_hash);
+    const Owner owner = systems_.ownership.FindOwnerByHash(now, p.match.service->id, p.key_hash);
     if (const auto* local = std::get_if<LocalOwner>(&owner)) return ChooseTarget(now, p, *local);
     if (const auto* home = std::get_if<RemoteHome>(&owner)) {
       return ForwardToDataCentre(now, p, home->data_centre);
@@ -473,8 +474,8 @@
                std::max(refused.retry_after, kRetryAfter));
   }
 
-  Step Send(TimePoint now, Pending& p, const Chosen& chosen,
-            const std::optional<LocalOwner>& owner, TimePoint deadline) {
+  Step Send(TimePoint now, Pending& p, const Chosen& chosen, const std::optional<LocalOwner>& owner,
+            TimePoint deadline) {
     const auto target =
         std::find_if(p.config->targets.begin(), p.config->targets.end(),
                      [&chosen](const TargetConfig& t) { return t.id == chosen.target; });
@@ -507,7 +508,8 @@
   }
 
   static std::vector<HeaderField> FieldsFor(TimePoint now, const Pending& p) {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(p.attempt_deadline - now);
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(p.attempt_deadline - now);
     std::vector<HeaderField> fields = {
         {"Dogwood-Request-Id", p.request_id},
         {"Dogwood-Account", p.account_name},
@@ -520,8 +522,8 @@
 
   Step Park(TimePoint now, Pending& p, TimePoint until) {
     if (now >= p.deadline) {
-      return End(p, 504, "deadline", "the deadline passed before a target was free",
-                 RunState::kNo, Duration(0));
+      return End(p, 504, "deadline", "the deadline passed before a target was free", RunState::kNo,
+                 Duration(0));
     }
     if (!p.waiting) {
       if (waiting_.size() >= settings_.max_waiting) {
@@ -538,17 +540,19 @@
     TimePoint retry_at;
   };
 
-  /// Tries waiting requests again in the order of their arrival. An attempt that has ended frees
-  /// one slot, so a request that still waits is tried no more often than each `kRetryInterval`.
-  void ServeWaiting(TimePoint now) {
+  /// Tries waiting requests again in the order of their arrival: those that are due, and the first
+  /// one of `freed`, a service whose attempt has ended and left a slot.
+  void ServeWaiting(TimePoint now, std::optional<ServiceId> freed = std::nullopt) {
     std::vector<Parked> list = std::exchange(waiting_, {});
     for (Parked& parked : list) {
       Pending* p = Find(parked.handle);
       if (p == nullptr || !p->waiting) continue;
-      if (now < parked.retry_at) {
+      const bool first = freed && p->match.service->id == *freed;
+      if (now < parked.retry_at && !first) {
         waiting_.push_back(parked);
         continue;
       }
+      if (first) freed.reset();
       p->waiting = false;
       Place(now, *p, /*deliver=*/true);
     }
@@ -656,14 +660,12 @@
       if (target.data_centre == settings_.own_data_centre) candidates.push_back(target.id);
     }
     if (p.match.service->keyed) {
-      const Owner owner =
-          systems_.ownership.FindOwnerByHash(now, attempt.service, p.key_hash);
+      const Owner owner = systems_.ownership.FindOwnerByHash(now, attempt.service, p.key_hash);
       const auto* local = std::get_if<LocalOwner>(&owner);
       candidates.clear();
       if (local != nullptr) candidates.push_back(local->target);
     }
-    const bool retry =
-        systems_.retries.Decide(now, attempt, candidates) == RetryDecision::kRetry;
+    const bool retry = systems_.retries.Decide(now, attempt, candidates) == RetryDecision::kRetry;
     if (retry) ++counters_.retries;
     return retry;
   }
@@ -679,16 +681,17 @@
     if (!authority) return Park(now, p, p.deadline);
     if (*authority != settings_.self) return Forward(now, p, *authority);
     if (p.order_allowed) return SendOrder(now, p);
+    // Beginning may end the request, so nothing of it is used afterwards.
+    const TimePoint until = p.deadline;
     if (!p.order_begun) BeginOrder(now, p);
-    return WaitForStep{p.deadline};
+    return WaitForStep{until};
   }
 
   std::optional<DataCentreId> HomeOf(TimePoint now, const Pending& p) const {
     if (!p.match.service->keyed) {
       return OrderPartitionHome(OrderPartition(*p.order), systems_.InService());
     }
-    const Owner owner =
-        systems_.ownership.FindOwnerByHash(now, p.match.service->id, p.key_hash);
+    const Owner owner = systems_.ownership.FindOwnerByHash(now, p.match.service->id, p.key_hash);
     if (std::holds_alternative<LocalOwner>(owner)) return settings_.own_data_centre;
     if (const auto* home = std::get_if<RemoteHome>(&owner)) return home->data_centre;
     return std::nullopt;
@@ -711,8 +714,7 @@
 
   Step SendOrder(TimePoint now, Pending& p) {
     if (!p.match.service->keyed) return ChooseTarget(now, p, std::nullopt);
-    const Owner owner =
-        systems_.ownership.FindOwnerByHash(now, p.match.service->id, p.key_hash);
+    const Owner owner = systems_.ownership.FindOwnerByHash(now, p.match.service->id, p.key_hash);
     if (const auto* local = std::get_if<LocalOwner>(&owner)) return ChooseTarget(now, p, *local);
     return Park(now, p, p.deadline);
   }
@@ -757,8 +759,7 @@
   void OnOrderAction(TimePoint /*now*/, const ReplayOutcome& action) {
     Pending* p = Find(action.request);
     if (p == nullptr) return;
-    std::optional<Answer> answer =
-        action.answer_kept ? DecodeAnswer(action.answer) : std::nullopt;
+    std::optional<Answer> answer = action.answer_kept ? DecodeAnswer(action.answer) : std::nullopt;
     if (!answer) {
       answer.emplace();
       answer->status = action.status;
@@ -824,10 +825,8 @@
     }
     const OrderId id = MakeOrderId(p.account, *key);
     const auto home = QueryHome(now, uri, id);
-    const Delegation* delegation =
-        home ? systems_.follower.state().delegation(*home) : nullptr;
-    const auto authority =
-        delegation == nullptr ? std::nullopt : OrderAuthority(*delegation, id);
+    const Delegation* delegation = home ? systems_.follower.state().delegation(*home) : nullptr;
+    const auto authority = delegation == nullptr ? std::nullopt : OrderAuthority(*delegation, id);
     if (!authority) {
       return End(p, 503, "no_owner", "no authority for the order", RunState::kNo, kRetryAfter);
     }
@@ -943,8 +942,8 @@
 
   void OnForwardCancel(TimePoint now, InstanceId from, const ForwardCancel& cancel) {
     for (auto& [handle, p] : pending_) {
-      const bool same = p.remote && p.remote->from == from &&
-                        p.remote->forward_id == cancel.forward_id;
+      const bool same =
+          p.remote && p.remote->from == from && p.remote->forward_id == cancel.forward_id;
       if (!same) continue;
       OnCallerLeft(now, handle);
       return;
@@ -1006,8 +1005,7 @@
       for (const Grant& grant : request.grants) {
         services.push_back(ServiceName(grant.shard.service));
       }
-      work_.grants.push_back(
-          {target->host, target->port, std::move(request), std::move(services)});
+      work_.grants.push_back({target->host, target->port, std::move(request), std::move(services)});
     }
   }
 
@@ -1096,9 +1094,7 @@
   impl_->BeginShutdown();
   systems().Shutdown(now);
 }
-bool Router::Ready(TimePoint now) const {
-  return !impl_->leaving() && systems().Ready(now);
-}
+bool Router::Ready(TimePoint now) const { return !impl_->leaving() && systems().Ready(now); }
 std::vector<ReadyStep> Router::TakeReady() { return impl_->TakeReady(); }
 std::vector<Envelope> Router::TakeEnvelopes() { return impl_->outbox().Take(); }
 RouterWork Router::TakeWork() { return impl_->TakeWork(); }
--- a/packages/core/src/systems.cc
+++ b/packages/core/src/systems.cc
@@ -29,30 +29,15 @@
   return out;
 }
 
-HomeState ToHomeState(DataCentreState state) {
-  switch (state) {
-    case DataCentreState::kInService:
-      return HomeState::kInService;
-    case DataCentreState::kWithdrawn:
-      return HomeState::kWithdrawn;
-    case DataCentreState::kYielded:
-      return HomeState::kYielded;
-    case DataCentreState::kLost:
-      return HomeState::kLost;
-  }
-  return HomeState::kLost;
-}
-
 template <typename T, typename List>
 struct Contains;
 template <typename T, typename... Ts>
 struct Contains<T, TypeList<Ts...>> : std::disjunction<std::is_same<T, Ts>...> {};
 
 template <typename T>
-constexpr bool kOfGroup =
-    std::is_same_v<T, OrderWrite> || std::is_same_v<T, OrderWriteAck> ||
-    std::is_same_v<T, OrderInstalled> || std::is_same_v<T, OrderCollect> ||
-    std::is_same_v<T, OrderCollected> || std::is_same_v<T, OrderOutcome>;
+constexpr bool kOfGroup = std::is_same_v<T, OrderWrite> || std::is_same_v<T, OrderWriteAck> ||
+                          std::is_same_v<T, OrderInstalled> || std::is_same_v<T, OrderCollect> ||
+                          std::is_same_v<T, OrderCollected> || std::is_same_v<T, OrderOutcome>;
 
 }  // namespace
 
@@ -175,8 +160,7 @@
     routing.OnTargetState(now, entry.id, draining);
   }
   for (const auto& [fingerprint, entry] : state.quarantined()) {
-    quarantine.OnRecord({fingerprint}, entry.version,
-                        entry.state == QuarantineState::kQuarantined);
+    quarantine.OnRecord({fingerprint}, entry.version, entry.state == QuarantineState::kQuarantined);
   }
 }
 
@@ -184,7 +168,7 @@
   if (const auto* change = std::get_if<DelegationChange>(&body)) {
     ApplyDelegation(now, {change->data_centre, offset, change->members, change->coordinator}, out);
   } else if (const auto* batch = std::get_if<AssignmentBatch>(&body)) {
-    ownership.OnAssignments(now, {batch->data_centre, batch->delegation, batch->moves});
+    ownership.OnAssignments(now, *batch);
   } else if (const auto* centre = std::get_if<DataCentreChange>(&body)) {
     ApplyDataCentre(now, DataCentreId::FromName(centre->data_centre), centre->state);
   } else if (const auto* target = std::get_if<TargetChange>(&body)) {
@@ -215,7 +199,7 @@
 }
 
 void Systems::ApplyDataCentre(TimePoint now, DataCentreId id, DataCentreState state) {
-  ownership.OnDataCentreState(now, id, ToHomeState(state));
+  ownership.OnDataCentreState(now, id, state);
   routing.OnDataCentreState(now, id, state == DataCentreState::kInService);
 }
 
@@ -229,15 +213,12 @@
   std::move(actions.grants.begin(), actions.grants.end(), std::back_inserter(grants_));
   std::move(actions.records.begin(), actions.records.end(), std::back_inserter(unsubmitted_));
   while (!unsubmitted_.empty()) {
-    const OwnershipRecord& record = unsubmitted_.front();
-    RecordBody body;
-    if (const auto* moves = std::get_if<AssignmentRecord>(&record)) {
-      body = AssignmentBatch{moves->data_centre, moves->delegation, moves->moves};
-    } else {
-      const auto& split = std::get<SplitRecord>(record);
-      const SplitTable* table = follower.state().splits(split.service);
-      body = ShardSplit{split.service, split.key_hash, table == nullptr ? 0 : table->version,
-                        split.split ? SplitAction::kSplit : SplitAction::kMerge};
+    RecordBody body =
+        std::visit([](const auto& record) { return RecordBody(record); }, unsubmitted_.front());
+    // The coordinator does not know the version of the list of splits.
+    if (auto* split = std::get_if<ShardSplit>(&body)) {
+      const SplitTable* table = follower.state().splits(split->service);
+      split->expected_version = table == nullptr ? 0 : table->version;
     }
     if (!follower.Submit(settings.name, "committed by the permit group", std::move(body))) return;
     unsubmitted_.pop_front();
@@ -259,8 +240,14 @@
 }
 
 bool Systems::Ready(TimePoint now) const {
-  return follower.ready() && follower.state().config()->version > 0 &&
-         ownership.permit().ValidAt(now);
+  if (!follower.ready() || config().version == 0 || !ownership.permit().ValidAt(now)) return false;
+  // A new instance has no share of the tokens until the permits of the delegation before it have
+  // expired. It would refuse every request until then.
+  const auto own =
+      std::find_if(config().data_centres.begin(), config().data_centres.end(),
+                   [this](const DataCentreConfig& d) { return d.id == settings.self.data_centre; });
+  const bool has_share = own != config().data_centres.end() && own->rate_share > 0;
+  return !has_share || limits.share() > 0;
 }
 
 std::vector<DataCentreId> Systems::InService() const {
--- /dev/null
+++ b/packages/daemon/include/dogwoodport/daemon/metrics.h
@@ -0,0 +1,45 @@
+#pragma once
+
+/// @file
+/// Metrics as Prometheus text. Label sets are bounded: status classes and run states only.
+
+#include <array>
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "dogwoodport/core/request.h"
+#include "dogwoodport/core/types.h"
+
+namespace dogwoodport {
+
+/// Latency of callers' requests by status class and run state. Not thread-safe.
+///
+/// @code
+/// metrics.Observe(200, RunState::kYes, Duration(1500));
+/// @endcode
+class Metrics {
+ public:
+  Metrics();
+
+  /// Counts one answer. Complexity: logarithmic in the number of bins.
+  void Observe(std::uint16_t status, RunState run, Duration latency);
+
+  /// Appends the histogram as Prometheus text. Complexity: linear in the bins.
+  void Write(std::string& out) const;
+
+ private:
+  using Axis = boost::histogram::axis::variable<double>;
+  using ClassAxis = boost::histogram::axis::integer<int>;
+  using Histogram = decltype(boost::histogram::make_histogram(
+      std::declval<Axis>(), std::declval<ClassAxis>(), std::declval<ClassAxis>()));
+
+  Histogram latency_;
+  double latency_sum_s_ = 0;
+};
+
+/// Appends one value with its type line, e.g. `dogwood_requests_total 7`.
+void WriteValue(std::string& out, std::string_view name, std::string_view type, double value);
+
+}  // namespace dogwoodport
--- /dev/null
+++ b/packages/daemon/src/metrics.cc
@@ -0,0 +1,60 @@
+#include "dogwoodport/daemon/metrics.h"
+
+#include <cmath>
+#include <cstdio>
+#include <vector>
+
+namespace dogwoodport {
+namespace {
+
+/// Upper bounds in seconds; 14 ms is the latency target of the design size.
+const std::vector<double> kBounds = {0,   0.0005, 0.001, 0.002, 0.004, 0.008, 0.014, 0.025, 0.05,
+                                     0.1, 0.25,   0.5,   1,     2.5,   5,     10,    60};
+
+std::string Number(double value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.9g", value);
+  return text.data();
+}
+
+}  // namespace
+
+Metrics::Metrics()
+    : latency_(boost::histogram::make_histogram(Axis(kBounds), ClassAxis(1, 6), ClassAxis(0, 3))) {}
+
+void Metrics::Observe(std::uint16_t status, RunState run, Duration latency) {
+  const double seconds = static_cast<double>(latency.count()) / 1e6;
+  latency_(seconds, status / 100, static_cast<int>(run));
+  latency_sum_s_ += seconds;
+}
+
+void Metrics::Write(std::string& out) const {
+  const std::string name = "dogwood_request_seconds";
+  out += "# TYPE " + name + " histogram\n";
+  for (int status = 0; status < 5; ++status) {
+    for (int run = 0; run < 3; ++run) {
+      const std::string labels = "status=\"" + std::to_string(status + 1) + "xx\",run=\"" +
+                                 std::string(ToString(static_cast<RunState>(run))) + "\"";
+      double total = 0;
+      std::string lines;
+      // Bin -1 holds values below the first bound, which is 0.
+      for (int bin = 0; bin <= static_cast<int>(kBounds.size()) - 1; ++bin) {
+        total += latency_.at(bin, status, run);
+        const bool last = bin == static_cast<int>(kBounds.size()) - 1;
+        const std::string bound =
+            last ? "+Inf" : Number(kBounds[static_cast<std::size_t>(bin) + 1]);
+        lines += name + "_bucket{" + labels + ",le=\"" + bound + "\"} " + Number(total) + "\n";
+      }
+      if (total == 0) continue;
+      out += lines + name + "_count{" + labels + "} " + Number(total) + "\n";
+    }
+  }
+  WriteValue(out, "dogwood_request_seconds_total", "counter", latency_sum_s_);
+}
+
+void WriteValue(std::string& out, std::string_view name, std::string_view type, double value) {
+  out += "# TYPE " + std::string(name) + " " + std::string(type) + "\n" + std::string(name) + " " +
+         Number(value) + "\n";
+}
+
+}  // namespace dogwoodport
--- a/packages/daemon/src/server.cc
+++ b/packages/daemon/src/server.cc
@@ -3,11 +3,18 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <random>
+#include <set>
 #include <thread>
 #include <unordered_map>
 
+#include "dogwoodport/core/detail/systems.h"
 #include "dogwoodport/core/refusal.h"
 #include "dogwoodport/core/router.h"
+#include "dogwoodport/daemon/operator_pages.h"
+#include "dogwoodport/daemon/target_prober.h"
+#include "dogwoodport/daemon/work_pool.h"
+#include "dogwoodport/gateway/detail/socket_guard.h"
 #include "dogwoodport/mesh/mesh.h"
 #include "dogwoodport/platform/http_log_service.h"
 
@@ -17,8 +24,14 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds kTickInterval{10};
-constexpr std::chrono::milliseconds kLogPollInterval{100};
-constexpr std::uint32_t kLogPageSize = 500;
+/// The platform's list lags by seconds anyway.
+constexpr std::chrono::milliseconds kListInterval{1000};
+/// As many calls of the log service as the follower makes at once, and the list.
+constexpr std::size_t kLogThreads = 6;
+constexpr std::size_t kTargetThreads = 8;
+constexpr std::size_t kMaxQueuedWork = 256;
+/// How often a thread that waits for a step looks whether its caller has left.
+constexpr std::chrono::milliseconds kCallerCheckInterval{50};
 /// Forwarded requests that wait for a thread before further ones are refused.
 constexpr std::size_t kMaxQueuedForwards = 1024;
 
@@ -56,6 +69,11 @@
     out.peers.push_back(
         {InstanceId::FromName(peer.instance), DataCentreId::FromName(peer.data_centre)});
   }
+  std::random_device random;
+  for (std::uint64_t& part : out.secrets.cache_key) {
+    part = (std::uint64_t{random()} << 32U) | random();
+  }
+  if (in.secret_max_staleness) out.secrets.max_staleness = *in.secret_max_staleness;
   return out;
 }
 
@@ -99,9 +117,11 @@
       : settings_(std::move(settings)),
         log_(log),
         incarnation_(MakeIncarnation()),
-        router_(MakeRouterSettings(settings_, incarnation_)),
+        router_(MakeRouterSettings(settings_, incarnation_), Now()),
         log_service_(MakeLogSettings(settings_)),
-        targets_(settings_.targets) {
+        targets_(settings_.targets),
+        log_pool_(kLogThreads, kMaxQueuedWork),
+        target_pool_(kTargetThreads, kMaxQueuedWork) {
     mesh_ = std::make_unique<Mesh>(
         MakeMeshSettings(settings_, incarnation_), [this](Delivery d) { OnDelivery(std::move(d)); },
         [this](const std::string& reason, std::uint64_t total) {
@@ -111,7 +131,6 @@
       workers_.emplace_back([this] { RunWorker(); });
     }
     ticker_ = std::thread([this] { RunTicker(); });
-    log_reader_ = std::thread([this] { RunLogReader(); });
     const std::string prefix = settings_.instance + "-" + std::to_string(incarnation_.value);
     operators_ = std::make_unique<HttpEntry>(
         settings_.operators.entry, prefix + "-op",
@@ -132,8 +151,9 @@
       stopping_ = true;
     }
     changed_.notify_all();
-    log_reader_.join();
     ticker_.join();
+    log_pool_.Stop();
+    target_pool_.Stop();
     for (std::thread& worker : workers_) worker.join();
     mesh_.reset();
   }
@@ -146,7 +166,7 @@
     log_.Info("shutdown_started");
     {
       const std::lock_guard<std::mutex> lock(mutex_);
-      draining_ = true;
+      router_.BeginShutdown(Now());
     }
     std::this_thread::sleep_for(settings_.shutdown.load_balancer_wait);
     const Clock::time_point limit = Clock::now() + settings_.shutdown.drain_timeout;
@@ -189,6 +209,7 @@
   void Flush(std::unique_lock<std::mutex>& lock) {
     for (;;) {
       HandOut();
+      StartWork(router_.TakeWork());
       const std::vector<Envelope> envelopes = router_.TakeEnvelopes();
       if (envelopes.empty()) return;
       lock.unlock();
@@ -234,6 +255,15 @@
   }
 
   Reply ServeCaller(EntryRequest in) {
+    const Clock::time_point received = in.received;
+    Reply reply = RunRequest(std::move(in));
+    const std::lock_guard<std::mutex> lock(mutex_);
+    metrics_.Observe(reply.answer.status, reply.run,
+                     std::chrono::duration_cast<Duration>(Clock::now() - received));
+    return reply;
+  }
+
+  Reply RunRequest(EntryRequest in) {
     RequestHandle handle = 0;
     Waiter waiter;
     const int caller_fd = in.caller_fd;
@@ -251,14 +281,23 @@
       if (const auto* send = std::get_if<SendToTarget>(&step)) {
         step = RunAttempt(*send, caller_fd);
       } else {
-        step = WaitForNext(waiter);
+        step = WaitForNext(waiter, handle, caller_fd);
       }
     }
   }
 
-  Step WaitForNext(Waiter& waiter) {
+  Step WaitForNext(Waiter& waiter, RequestHandle handle, int caller_fd) {
     std::unique_lock<std::mutex> lock(mutex_);
-    waiter.changed.wait(lock, [&waiter] { return waiter.step.has_value(); });
+    bool watch = true;
+    while (!waiter.step) {
+      if (waiter.changed.wait_for(lock, kCallerCheckInterval) == std::cv_status::no_timeout) {
+        continue;
+      }
+      if (!watch || waiter.step || !detail::PeerHasLeft(caller_fd)) continue;
+      // An order goes on without its caller.
+      if (router_.OnCallerLeft(Now(), handle)) return Finish{};
+      watch = false;
+    }
     Step step = std::move(*waiter.step);
     waiter.step.reset();
     return step;
@@ -278,7 +317,17 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       return router_.MaySend(Now(), send.handle, send.attempt);
     };
+    const auto cancelled = std::make_shared<std::atomic<bool>>(false);
+    exchange.cancelled = cancelled;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (send.cancellable) cancels_[send.handle] = cancelled;
+    }
     AttemptOutcome outcome = ToOutcome(targets_.Run(exchange), exchange.target);
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      cancels_.erase(send.handle);
+    }
     return WithRouter([&](Router& router, TimePoint now) {
       return router.OnAttempt(now, send.handle, send.attempt, std::move(outcome));
     });
@@ -291,8 +340,11 @@
     auto& failure = std::get<ExchangeFailure>(result);
     // Other kept connections to the target may be as silent as this one.
     if (failure.fault == ExchangeFault::kTimeout) targets_.CloseIdle(target);
+    // A lost connection may mean a lost process, which a new connection shows.
+    const bool gone =
+        failure.fault == ExchangeFault::kTruncated && targets_.RefusesConnections(target);
     return TargetFailed{ToAttemptFault(failure.fault), failure.run, failure.new_connection,
-                        std::move(failure.text)};
+                        std::move(failure.text), gone};
   }
 
   /// Runs requests that other instances forwarded.
@@ -324,76 +376,140 @@
 
   void RunTicker() {
     std::unique_lock<std::mutex> lock(mutex_);
+    router_.OnPlatformList(Now(), PeersAsList());
+    Clock::time_point next_list = Clock::now();
     while (!stopping_) {
       changed_.wait_for(lock, kTickInterval, [this] { return stopping_; });
-      router_.Tick(Now());
+      router_.Tick(Now(), UnixMs());
       Flush(lock);
+      if (Clock::now() < next_list) continue;
+      next_list = Clock::now() + kListInterval;
+      log_pool_.Post([this] { ReadPlatformList(); });
     }
   }
 
-  void RunLogReader() {
-    std::unique_lock<std::mutex> lock(mutex_);
-    bool down = false;
-    while (!stopping_) {
-      const std::uint64_t from = router_.state().next_offset();
-      lock.unlock();
-      std::vector<std::pair<std::uint64_t, std::string>> records;
+  /// Starts the calls that the router asks for. Called under the mutex.
+  void StartWork(RouterWork work) {
+    for (LogRequest& request : work.log) {
+      const std::uint64_t id = std::visit([](const auto& r) { return r.id; }, request);
+      const bool append = std::holds_alternative<LogAppend>(request);
+      if (log_pool_.Post([this, r = std::move(request)] { RunLogRequest(r); })) continue;
+      if (append) {
+        router_.OnLogAppendFailed(Now(), id, LogFailure::kUnreachable);
+      } else {
+        router_.OnLogReadFailed(Now(), id, LogFailure::kUnreachable);
+      }
+    }
+    for (const ProbeTarget& probe : work.probes) StartProbe(probe);
+    for (SendGrants& grants : work.grants) {
+      target_pool_.Post([this, g = std::move(grants)] { RunGrants(g); });
+    }
+    for (const RequestHandle handle : work.cancelled) {
+      const auto it = cancels_.find(handle);
+      if (it != cancels_.end()) *it->second = true;
+    }
+  }
+
+  /// One probe of a target at a time: a frozen one would otherwise occupy all threads.
+  void StartProbe(const ProbeTarget& probe) {
+    if (!probing_.insert(probe.target).second) return;
+    const bool posted = target_pool_.Post([this, probe] {
+      const ProbeAnswer answer = Probe(targets_, probe);
+      WithRouter([&](Router& router, TimePoint now) {
+        probing_.erase(probe.target);
+        router.OnHealth(now, probe.target, answer.health);
+        if (answer.has_load) {
+          router.OnLoad(now, probe.target, answer.in_flight, answer.load_age);
+        }
+      });
+    });
+    if (!posted) probing_.erase(probe.target);
+  }
+
+  void RunGrants(const SendGrants& grants) {
+    const std::optional<GrantReply> reply = PutGrants(targets_, grants);
+    if (!reply) return;
+    WithRouter([&](Router& router, TimePoint now) { router.OnGrantReply(now, *reply); });
+  }
+
+  void RunLogRequest(const LogRequest& request) {
+    if (const auto* read = std::get_if<LogRead>(&request)) {
       try {
-        LogPage page = log_service_.Read(from, kLogPageSize);
-        for (LogRecord& r : page.records) records.emplace_back(r.offset, std::move(r.data));
-        if (down) log_.Info("log_service_up");
-        down = false;
+        const LogPage page = log_service_.Read(read->from, read->max);
+        WithRouter([&](Router& router, TimePoint now) {
+          const std::uint64_t from = router.state().next_offset();
+          router.OnLogRead(now, read->id, page);
+          ReportState(from);
+        });
       } catch (const LogServiceError& e) {
-        if (!down) log_.Warning("log_service_down", {{"error", DescribeNested(e)}});
-        down = true;
+        WithRouter([&](Router& router, TimePoint now) {
+          router.OnLogReadFailed(now, read->id, e.failure());
+        });
       }
-      const bool full = records.size() == kLogPageSize;
-      lock.lock();
-      ApplyRecords(records);
-      Flush(lock);
-      if (!full) changed_.wait_for(lock, kLogPollInterval, [this] { return stopping_; });
+      return;
+    }
+    const auto& append = std::get<LogAppend>(request);
+    try {
+      log_service_.Append(append.records);
+      WithRouter([&](Router& router, TimePoint now) { router.OnLogAppended(now, append.id); });
+    } catch (const LogServiceError& e) {
+      WithRouter([&](Router& router, TimePoint now) {
+        router.OnLogAppendFailed(now, append.id, e.failure());
+      });
     }
   }
 
-  void ApplyRecords(const std::vector<std::pair<std::uint64_t, std::string>>& records) {
-    if (records.empty()) return;
-    const std::uint64_t version = router_.state().config()->version;
+  void ReadPlatformList() {
+    std::vector<PlatformMember> list;
     try {
-      router_.OnLogRecords(Now(), UnixMs(), records);
-    } catch (const Error& e) {
-      log_.Error("control_state_stopped", {{"error", DescribeNested(e)}});
+      for (const ListedInstance& entry : log_service_.ListInstances()) {
+        list.push_back({InstanceId::FromName(entry.id), DataCentreId::FromName(entry.data_centre),
+                        entry.state == ListedState::kLeaving});
+      }
+    } catch (const LogServiceError&) {
+      return;
+    }
+    // An empty list says nothing: it would make known instances unknown.
+    if (list.empty()) list = PeersAsList();
+    WithRouter([&](Router& router, TimePoint now) { router.OnPlatformList(now, list); });
+  }
+
+  /// The instances of the settings, in the form of the platform's list.
+  std::vector<PlatformMember> PeersAsList() const {
+    std::vector<PlatformMember> list;
+    for (const PeerSettings& peer : settings_.mesh.peers) {
+      list.push_back(
+          {InstanceId::FromName(peer.instance), DataCentreId::FromName(peer.data_centre), false});
     }
+    return list;
+  }
+
+  /// Logs records that were not applied and a new configuration. Called under the mutex.
+  void ReportState(std::uint64_t from) {
     for (const AuditEntry& entry : router_.state().audit()) {
-      if (entry.offset < records.front().first || entry.outcome == ApplyOutcome::kApplied) continue;
+      if (entry.offset < from || entry.outcome == ApplyOutcome::kApplied) continue;
       log_.Warning("record_not_applied", {{"offset", entry.offset},
                                           {"actor", entry.actor},
                                           {"what", entry.what},
                                           {"detail", entry.detail}});
     }
-    if (router_.state().config()->version != version) {
-      log_.Info("configuration_in_force", {{"version", router_.state().config()->version}});
+    const std::uint64_t version = router_.state().config()->version;
+    if (version != reported_version_) {
+      log_.Info("configuration_in_force", {{"version", version}});
+      reported_version_ = version;
     }
   }
 
   Reply ServeOperator(const EntryRequest& in) {
-    const std::string& uri = in.request.uri;
-    const bool read = in.request.method == "GET" || in.request.method == "HEAD";
-    if (!read) {
-      return MakeRefusal(405, "method_not_allowed", "read-only", RunState::kNo, in.request_id);
-    }
-    if (uri == "/-/live") return Json(200, {{"live", true}});
-    if (uri == "/-/ready") {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      const bool ready = !draining_ && router_.Ready(Now());
-      return Json(ready ? 200 : 503, {{"ready", ready}, {"draining", draining_}});
-    }
-    return MakeRefusal(404, "unknown_page", "no such page", RunState::kNo, in.request_id);
+    PageContext context{settings_, entry_ ? entry_->counters() : EntryCounters{}, mesh_->counters(),
+                        targets_.counters(), forwards_running()};
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return ServePage(in, router_, Now(), context, metrics_);
   }
 
-  static Reply Json(std::uint16_t status, const nlohmann::json& value) {
-    Reply reply;
-    reply.answer = {status, {{"Content-Type", "application/json"}}, value.dump() + "\n"};
-    return reply;
+  std::size_t forwards_running() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return running_forwards_;
   }
 
   Settings settings_;
@@ -405,14 +521,18 @@
   std::unordered_map<RequestHandle, Waiter*> waiters_;
   std::deque<SendToTarget> forwards_;
   std::size_t running_forwards_ = 0;
-  bool draining_ = false;
+  std::unordered_map<RequestHandle, std::shared_ptr<std::atomic<bool>>> cancels_;
+  std::set<TargetId> probing_;
+  std::uint64_t reported_version_ = 0;
+  Metrics metrics_;
   bool stopping_ = false;
   HttpLogService log_service_;
   TargetClient targets_;
+  WorkPool log_pool_;
+  WorkPool target_pool_;
   std::unique_ptr<Mesh> mesh_;
   std::vector<std::thread> workers_;
   std::thread ticker_;
-  std::thread log_reader_;
   std::unique_ptr<HttpEntry> operators_;
   std::unique_ptr<HttpEntry> entry_;
 };
--- a/packages/gateway/include/dogwoodport/gateway/detail/socket_guard.h
+++ b/packages/gateway/include/dogwoodport/gateway/detail/socket_guard.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <list>
+#include <memory>
 #include <mutex>
 #include <thread>
 
@@ -37,6 +38,8 @@
     /// Descriptor of the caller's connection, or -1.
     int caller_fd = -1;
     Direction direction = Direction::kBoth;
+    /// May be null.
+    std::shared_ptr<const std::atomic<bool>> cancelled;
     std::atomic<Verdict> verdict{Verdict::kNone};
   };
 
@@ -54,7 +57,8 @@
 class SocketGuard::Watch {
  public:
   Watch(SocketGuard& guard, const Poco::Net::StreamSocket& socket,
-        std::chrono::steady_clock::time_point deadline, Direction direction, int caller_fd = -1);
+        std::chrono::steady_clock::time_point deadline, Direction direction, int caller_fd = -1,
+        std::shared_ptr<const std::atomic<bool>> cancelled = nullptr);
   ~Watch();
   Watch(const Watch&) = delete;
   Watch& operator=(const Watch&) = delete;
--- a/packages/gateway/include/dogwoodport/gateway/target_client.h
+++ b/packages/gateway/include/dogwoodport/gateway/target_client.h
@@ -3,6 +3,7 @@
 /// @file
 /// Requests to targets over kept connections.
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -45,7 +46,11 @@
   /// Descriptor of the caller's connection, or -1. When the caller leaves, the exchange is given
   /// up and its connection closed, which cancels the request at the target.
   int caller_fd = -1;
+  /// When it becomes true the exchange is given up like after `caller_fd`. May be null.
+  std::shared_ptr<const std::atomic<bool>> cancelled;
   bool force_new_connection = false;
+  /// False for the target's own pages, which need not echo an identifier.
+  bool check_request_id = true;
 };
 
 enum class ExchangeFault {
@@ -106,6 +111,10 @@
 
   ExchangeResult Run(const Exchange& exchange);
 
+  /// Returns whether the target refuses new connections: its process has ended. Blocks for at most
+  /// the connect timeout.
+  bool RefusesConnections(const TargetAddress& target) const;
+
   /// Closes the idle connections to `target`.
   void CloseIdle(const TargetAddress& target);
 
--- a/packages/gateway/src/socket_guard.cc
+++ b/packages/gateway/src/socket_guard.cc
@@ -56,7 +56,8 @@
     if (entry.verdict != Verdict::kNone) continue;
     if (now >= entry.deadline) {
       entry.verdict = Verdict::kDeadline;
-    } else if (entry.caller_fd >= 0 && PeerHasLeft(entry.caller_fd)) {
+    } else if ((entry.cancelled && *entry.cancelled) ||
+               (entry.caller_fd >= 0 && PeerHasLeft(entry.caller_fd))) {
       entry.verdict = Verdict::kCallerLeft;
     } else {
       continue;
@@ -67,7 +68,7 @@
 
 SocketGuard::Watch::Watch(SocketGuard& guard, const Poco::Net::StreamSocket& socket,
                           std::chrono::steady_clock::time_point deadline, Direction direction,
-                          int caller_fd)
+                          int caller_fd, std::shared_ptr<const std::atomic<bool>> cancelled)
     : guard_(guard) {
   const std::lock_guard<std::mutex> lock(guard_.mutex_);
   const bool first = guard_.entries_.empty();
@@ -76,6 +77,7 @@
   entry_->deadline = deadline;
   entry_->direction = direction;
   entry_->caller_fd = caller_fd;
+  entry_->cancelled = std::move(cancelled);
   if (first) guard_.wake_.notify_all();
 }
 
--- a/packages/gateway/src/target_client.cc
+++ b/packages/gateway/src/target_client.cc
@@ -113,6 +113,19 @@
     return result;
   }
 
+  bool RefusesConnections(const TargetAddress& target) const {
+    try {
+      Poco::Net::StreamSocket socket;
+      socket.connect(Poco::Net::SocketAddress(target.host, target.port),
+                     ToTimespan(settings_.connect_timeout));
+      return false;
+    } catch (const Poco::Net::ConnectionRefusedException&) {
+      return true;
+    } catch (const Poco::Exception&) {
+      return false;
+    }
+  }
+
   void CloseIdle(const TargetAddress& target) {
     std::deque<ConnectionPtr> closed;
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -161,7 +174,8 @@
 
   ExchangeResult Talk(const Exchange& exchange, TargetConnection& connection, Progress& progress) {
     const SocketGuard::Watch watch(guard_, connection.socket(), exchange.deadline,
-                                   SocketGuard::Direction::kBoth, exchange.caller_fd);
+                                   SocketGuard::Direction::kBoth, exchange.caller_fd,
+                                   exchange.cancelled);
     try {
       const std::string bytes = Serialize(exchange);
       if (!exchange.may_send()) return Fail(ExchangeFault::kNotAllowed, progress, "not allowed");
@@ -195,7 +209,7 @@
     out.answer.status = static_cast<std::uint16_t>(header.getStatus());
     out.answer.fields = detail::CopyFields(header, size);
     const std::string* id = FindField(out.answer.fields, "Dogwood-Request-Id");
-    if (id == nullptr || *id != exchange.request_id) {
+    if (exchange.check_request_id && (id == nullptr || *id != exchange.request_id)) {
       return Fail(ExchangeFault::kCrossed, progress, "the answer belongs to another request");
     }
     progress.run = RunState::kYes;
@@ -276,6 +290,9 @@
 TargetClient::~TargetClient() = default;
 
 ExchangeResult TargetClient::Run(const Exchange& exchange) { return impl_->Run(exchange); }
+bool TargetClient::RefusesConnections(const TargetAddress& target) const {
+  return impl_->RefusesConnections(target);
+}
 void TargetClient::CloseIdle(const TargetAddress& target) { impl_->CloseIdle(target); }
 std::size_t TargetClient::idle_connections(const TargetAddress& target) const {
   return impl_->idle_connections(target);
--- a/standin/include/dogwoodport/standin/limit_fleet.h
+++ b/standin/include/dogwoodport/standin/limit_fleet.h
@@ -85,7 +85,7 @@
   std::uint64_t refused = 0;
   /// Admitted by a single bucket for the whole fleet.
   std::uint64_t reference_admitted = 0;
-  /// Refused although the single bucket admitted the request.
+  /// LimitRefused although the single bucket admitted the request.
   std::uint64_t wrongful = 0;
 };
 
