Let a request for a slot be met from any target of the service

Cause: in episodes with half of a service slowed, requests waited for slots although other targets had idle ones: a request for a loan named one target, chosen by counts that are up to 200 ms old. Change: a lender may meet the request from any usable target of the service.

--- a/packages/core/include/dogwoodport/core/routing.h
+++ b/packages/core/include/dogwoodport/core/routing.h
@@ -217,7 +217,7 @@
   std::optional<std::size_t> WarmUpTarget(TimePoint now, const RouteRequest& request,
                                           const ServiceRow& service);
   std::optional<Chosen> Start(TimePoint now, std::size_t target, const RouteRequest& request);
-  void BorrowFor(TimePoint now, const ServiceRow& service, Outbox& out);
+  void BorrowFor(TimePoint now, ServiceRow& service, Outbox& out);
   Attempt* End(TimePoint now, AttemptId id);
   void MeasureEnd(TimePoint now, const Attempt& attempt, TargetRow& row,
                   const AttemptResult& result);
@@ -250,6 +250,7 @@
   std::uint64_t next_latency_probe_ = 1;
   std::size_t next_peer_ = 0;
   std::vector<TargetId> due_;
+  std::vector<SlotLedger::Candidate> candidates_;
   TimePoint last_tick_;
   TimePoint next_in_flight_;
   TimePoint next_load_;
--- a/packages/core/include/dogwoodport/core/routing_messages.h
+++ b/packages/core/include/dogwoodport/core/routing_messages.h
@@ -24,8 +24,10 @@
   /// instance that asked first.
   std::uint8_t passed_on = 0;
   InstanceId from;
+  /// A slot of any target of the same service will do.
+  bool any_of_service = false;
 
-  MSGPACK_DEFINE_ARRAY(target, resource, borrower, sequence, passed_on, from)
+  MSGPACK_DEFINE_ARRAY(target, resource, borrower, sequence, passed_on, from, any_of_service)
 };
 
 /// Lends one unit for a time that counts from the borrower's request. Sent
--- a/packages/core/include/dogwoodport/core/slot_ledger.h
+++ b/packages/core/include/dogwoodport/core/slot_ledger.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -90,13 +91,20 @@
   /// Returns this instance's share of the first `limit` units. Complexity: constant.
   std::uint32_t Share(TimePoint now, std::size_t row, std::uint32_t limit) const noexcept;
 
-  /// Asks the next member for a unit, at most once per 2 ms and row.
-  void Borrow(TimePoint now, std::size_t row, Outbox& out);
+  /// Asks the next member for a unit of `row`, or of any target of its service. At most once per
+  /// 2 ms and row.
+  void Borrow(TimePoint now, std::size_t row, bool any_of_service, Outbox& out);
 
-  /// Lends a unit of the first `limit` when one is free. Otherwise passes the request on: to the
+  /// A row from which a request may be met, and how many of its units are in use at all.
+  struct Candidate {
+    std::size_t row = 0;
+    std::uint32_t limit = 0;
+  };
+
+  /// Lends a unit of the first candidate that has one free. Otherwise passes the request on: to the
   /// lender of an idle loan, which is returned, or to the next member, up to the number of members.
-  void OnRequest(TimePoint now, InstanceId from, const SlotRequest& request, std::uint32_t limit,
-                 Outbox& out);
+  void OnRequest(TimePoint now, InstanceId from, const SlotRequest& request,
+                 std::span<const Candidate> candidates, Outbox& out);
   void OnLoan(TimePoint now, InstanceId from, const SlotLoan& loan, Outbox& out);
   void OnReturn(InstanceId from, const SlotReturn& message);
 
@@ -136,10 +144,13 @@
     std::uint32_t own_in_use = 0;
     std::vector<LoanOut> out;
     std::vector<LoanIn> in;
-    /// Request that has not been answered yet.
+    TimePoint next_borrow;
+    std::size_t next_peer = 0;
+  };
+  /// A request of this instance that may still be answered.
+  struct Pending {
     std::uint64_t sequence = 0;
     TimePoint requested;
-    std::size_t next_peer = 0;
   };
   /// Membership under one delegation, which bounds the share until `until`.
   struct Division {
@@ -154,8 +165,9 @@
   std::uint32_t ShareUnder(const Division& division, std::size_t row,
                            std::uint32_t limit) const noexcept;
   std::uint32_t OwnFree(TimePoint now, const Row& row, std::uint32_t limit) const noexcept;
-  void PassOn(TimePoint now, InstanceId borrower, Row& row, const SlotRequest& request,
-              Outbox& out);
+  bool ReturnIdle(TimePoint now, InstanceId borrower, Row& row, const SlotRequest& request,
+                  Outbox& out);
+  void PassOn(InstanceId borrower, const SlotRequest& request, Outbox& out) const;
   bool Lend(TimePoint now, InstanceId borrower, std::size_t row, const SlotRequest& request,
             std::uint32_t limit, Outbox& out);
   Duration LoanDuration() const noexcept { return settings_.max_hold + settings_.max_hold / 2; }
@@ -174,6 +186,8 @@
   std::uint64_t delegation_ = 0;
   TimePoint permit_until_ = TimePoint::max();
   std::uint64_t next_sequence_ = 1;
+  /// The latest requests, by sequence modulo the size.
+  std::array<Pending, 256> pending_{};
   std::uint64_t next_loan_ = 1;
   /// Rows with a loan in either direction; the others need no work each tick.
   std::vector<std::size_t> active_;
--- a/packages/core/include/dogwoodport/core/target_table.h
+++ b/packages/core/include/dogwoodport/core/target_table.h
@@ -116,6 +116,9 @@
   std::uint64_t samples = 0;
   /// Ejected targets in other data centres as last reported.
   std::uint32_t ejected_elsewhere = 0;
+  /// Turn and time of the next request for a slot of another instance.
+  std::size_t next_target = 0;
+  TimePoint next_borrow;
 };
 
 /// Rows of targets and services; a row keeps its index until the process ends.
--- a/packages/core/src/routing.cc
+++ b/packages/core/src/routing.cc
@@ -7,6 +7,8 @@
 
 // A loan inside a data centre takes one round trip; waiting longer costs more than spilling over.
 constexpr Duration kBorrowWait{1'500};
+// Requests for slots of a service; a loan serves about ten requests before it goes back.
+constexpr Duration kServiceBorrowInterval{500};
 // Time after which a waiting request asks again when nothing else wakes it.
 constexpr Duration kAskAgain{1'000};
 // Owners come back by a move of the shard, which takes at least this long.
@@ -120,7 +122,7 @@
   }
   if (const auto chosen = Start(now, *index, request)) return *chosen;
   if (waited_out) return Refused{RefusalReason::kNoCapacity, kRetryAfter};
-  ledger_.Borrow(now, row.slot_row, out);
+  ledger_.Borrow(now, row.slot_row, false, out);
   return Wait{now + kAskAgain};
 }
 
@@ -205,20 +207,17 @@
   return Chosen{row.config.id, attempt.id, attempt.deadline, verify};
 }
 
-void Routing::BorrowFor(TimePoint now, const ServiceRow& service, Outbox& out) {
-  // One request at a time for the service: the target with the least expected latency.
-  const TargetRow* best = nullptr;
-  double best_latency = 0;
-  for (const std::size_t i : service.targets) {
-    const TargetRow& row = table_.rows()[i];
+void Routing::BorrowFor(TimePoint now, ServiceRow& service, Outbox& out) {
+  if (now < service.next_borrow) return;
+  service.next_borrow = now + kServiceBorrowInterval;
+  // The next target in turn names the service; a lender may choose another one.
+  for (std::size_t i = 0; i < service.targets.size(); ++i) {
+    const std::size_t index = service.targets[service.next_target++ % service.targets.size()];
+    const TargetRow& row = table_.rows()[index];
     if (!TakesNewWork(row, now) || row.slow >= SlowState::kSlow) continue;
-    if (row.attempts.size() + row.peers_in_flight >= row.config.slots) continue;
-    const double latency = ExpectedLatency(row, service, now);
-    if (best != nullptr && latency >= best_latency) continue;
-    best = &row;
-    best_latency = latency;
+    ledger_.Borrow(now, row.slot_row, true, out);
+    return;
   }
-  if (best != nullptr) ledger_.Borrow(now, best->slot_row, out);
 }
 
 void Routing::OnRequestStarted(TimePoint now, AttemptId id) {
@@ -303,7 +302,7 @@
   const TargetRow* row = table_.Find(target);
   if (row == nullptr) return std::nullopt;
   auto hold = ledger_.Acquire(now, row->connection_row, row->config.connections);
-  if (!hold) ledger_.Borrow(now, row->connection_row, out);
+  if (!hold) ledger_.Borrow(now, row->connection_row, false, out);
   // An own connection stays open; only a borrowed one has to be closed by the end of its loan.
   if (hold && hold->loan == 0) hold->until = TimePoint::max();
   return hold;
@@ -405,11 +404,22 @@
 }
 
 void Routing::OnMessage(TimePoint now, InstanceId from, const SlotRequest& message, Outbox& out) {
-  const TargetRow* row = table_.Find(message.target);
-  if (row == nullptr) return;
-  const bool slot = message.resource == static_cast<std::uint8_t>(Resource::kSlot);
-  ledger_.OnRequest(now, from, message,
-                    slot ? row->ramp.Limit(row->config.slots) : row->config.connections, out);
+  const TargetRow* named = table_.Find(message.target);
+  if (named == nullptr) return;
+  candidates_.clear();
+  if (message.resource == static_cast<std::uint8_t>(Resource::kConnection)) {
+    candidates_.push_back({named->connection_row, named->config.connections});
+  } else {
+    candidates_.push_back({named->slot_row, named->ramp.Limit(named->config.slots)});
+  }
+  if (message.any_of_service) {
+    for (const std::size_t i : table_.services()[named->service].targets) {
+      const TargetRow& row = table_.rows()[i];
+      if (&row == named || !TakesNewWork(row, now) || row.slow >= SlowState::kSlow) continue;
+      candidates_.push_back({row.slot_row, row.ramp.Limit(row.config.slots)});
+    }
+  }
+  ledger_.OnRequest(now, from, message, candidates_, out);
 }
 
 void Routing::OnMessage(TimePoint now, InstanceId from, const SlotLoan& message, Outbox& out) {
--- a/packages/core/src/slot_ledger.cc
+++ b/packages/core/src/slot_ledger.cc
@@ -9,6 +9,8 @@
 constexpr Duration kBorrowInterval{2'000};
 // A loan idle for less may be meant for a request that is about to ask for it.
 constexpr Duration kMinIdle{1'000};
+// Bounds the messages of one request in a large group.
+constexpr std::uint8_t kMaxPassedOn = 6;
 constexpr std::size_t kNoRow = static_cast<std::size_t>(-1);
 
 Duration WithDrift(Duration d) {
@@ -158,20 +160,22 @@
   }
 }
 
-void SlotLedger::Borrow(TimePoint now, std::size_t row, Outbox& out) {
+void SlotLedger::Borrow(TimePoint now, std::size_t row, bool any_of_service, Outbox& out) {
   Row& r = rows_[row];
-  if (divisions_.empty() || (r.sequence != 0 && now < r.requested + kBorrowInterval)) return;
+  if (divisions_.empty() || now < r.next_borrow) return;
   const std::vector<InstanceId>& members = divisions_.back().members;
   if (members.empty()) return;
   for (std::size_t i = 0; i < members.size(); ++i) {
     const InstanceId peer = members[r.next_peer++ % members.size()];
     if (peer == settings_.self) continue;
-    r.sequence = next_sequence_++;
-    r.requested = now;
+    const std::uint64_t sequence = next_sequence_++;
+    pending_[sequence % pending_.size()] = Pending{sequence, now};
+    r.next_borrow = now + kBorrowInterval;
     out.Send(peer, SlotRequest{.target = r.target,
                                .resource = static_cast<std::uint8_t>(r.resource),
                                .borrower = settings_.incarnation,
-                               .sequence = r.sequence});
+                               .sequence = sequence,
+                               .any_of_service = any_of_service});
     return;
   }
 }
@@ -197,41 +201,55 @@
 }
 
 void SlotLedger::OnRequest(TimePoint now, InstanceId from, const SlotRequest& request,
-                           std::uint32_t limit, Outbox& out) {
-  const auto index = FindRow(request.target, static_cast<Resource>(request.resource & 1));
-  const InstanceId borrower = request.passed_on ? request.from : from;
-  if (!index || borrower == settings_.self) return;
-  Row& r = rows_[*index];
-  const bool known = std::any_of(r.out.begin(), r.out.end(), [&](const LoanOut& loan) {
+                           std::span<const Candidate> candidates, Outbox& out) {
+  const InstanceId borrower = request.passed_on > 0 ? request.from : from;
+  if (borrower == settings_.self) return;
+  const auto known = [&](const LoanOut& loan) {
     return loan.borrower == borrower && loan.incarnation == request.borrower &&
            loan.sequence == request.sequence;
+  };
+  for (const Candidate& candidate : candidates) {
+    const Row& row = rows_[candidate.row];
+    // A duplicated request must not take a second unit.
+    if (std::any_of(row.out.begin(), row.out.end(), known)) return;
+  }
+  for (const Candidate& candidate : candidates) {
+    if (Lend(now, borrower, candidate.row, request, candidate.limit, out)) return;
+  }
+  for (const Candidate& candidate : candidates) {
+    if (ReturnIdle(now, borrower, rows_[candidate.row], request, out)) return;
+  }
+  PassOn(borrower, request, out);
+}
+
+bool SlotLedger::ReturnIdle(TimePoint now, InstanceId borrower, Row& row,
+                            const SlotRequest& request, Outbox& out) {
+  const auto idle = std::find_if(row.in.begin(), row.in.end(), [&](const LoanIn& loan) {
+    return !loan.busy && now >= loan.idle_since + kMinIdle;
   });
-  // A duplicated request must not take a second unit.
-  if (known || Lend(now, borrower, *index, request, limit, out)) return;
-  PassOn(now, borrower, r, request, out);
+  if (idle == row.in.end()) return false;
+  const InstanceId lender = idle->lender;
+  SendReturn(row, lender, idle->incarnation, idle->number, out);
+  row.in.erase(idle);
+  // A lender that asked itself gets its unit back by the return alone.
+  if (lender == borrower || request.passed_on >= kMaxPassedOn) return true;
+  SlotRequest next = request;
+  next.target = row.target;
+  next.from = borrower;
+  ++next.passed_on;
+  out.Send(lender, next);
+  return true;
 }
 
-void SlotLedger::PassOn(TimePoint now, InstanceId borrower, Row& row, const SlotRequest& request,
-                        Outbox& out) {
+void SlotLedger::PassOn(InstanceId borrower, const SlotRequest& request, Outbox& out) const {
   if (divisions_.empty()) return;
   const std::vector<InstanceId>& members = divisions_.back().members;
-  if (request.passed_on + 2U >= std::max<std::size_t>(members.size(), 3)) return;
+  if (request.passed_on >= kMaxPassedOn || request.passed_on + 2U >= members.size()) return;
+  const auto self = std::find(members.begin(), members.end(), settings_.self);
+  if (self == members.end()) return;
   SlotRequest next = request;
   next.from = borrower;
   ++next.passed_on;
-  const auto idle = std::find_if(row.in.begin(), row.in.end(), [&](const LoanIn& loan) {
-    return !loan.busy && now >= loan.idle_since + kMinIdle;
-  });
-  if (idle != row.in.end()) {
-    const InstanceId lender = idle->lender;
-    SendReturn(row, lender, idle->incarnation, idle->number, out);
-    row.in.erase(idle);
-    // The lender that asked itself gets its unit back by the return alone.
-    if (lender != borrower) out.Send(lender, next);
-    return;
-  }
-  const auto self = std::find(members.begin(), members.end(), settings_.self);
-  if (self == members.end()) return;
   auto i = static_cast<std::size_t>(self - members.begin());
   do {
     i = (i + 1) % members.size();
@@ -265,16 +283,17 @@
   const bool fresh = loan.number > highest;
   highest = std::max(highest, loan.number);
   // The duration counts from this instance's request, so an answer to an unknown one has no expiry.
-  if (!fresh || loan.sequence != r.sequence) {
+  Pending& pending = pending_[loan.sequence % pending_.size()];
+  if (!fresh || loan.sequence == 0 || loan.sequence != pending.sequence) {
     SendReturn(r, from, loan.lender, loan.number, out);
     return;
   }
   if (r.in.empty() && r.out.empty()) active_.push_back(*index);
-  r.sequence = 0;
+  pending.sequence = 0;
   r.in.push_back(LoanIn{.lender = from,
                         .incarnation = loan.lender,
                         .number = loan.number,
-                        .expires = r.requested + LoanDuration(),
+                        .expires = pending.requested + LoanDuration(),
                         .idle_since = now});
 }
 
