--- a/standin/src/fleet_model.cc
+++ b/standin/src/fleet_model.cc
@@ -47,6 +47,8 @@
   std::size_t shard = 0;
   std::size_t entry = 0;
   std::size_t instance = 0;
+  /// Service time of the first attempt on a fast target.
+  double work_us = 0;
   bool repeatable = false;
   bool forwarded = false;
   bool done = true;
@@ -112,7 +114,10 @@
 
  private:
   TimePoint At(Duration d) const { return start_ + d; }
-  double Uniform() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  double Uniform() { return Uniform(random_); }
+  static double Uniform(std::mt19937_64& random) {
+    return std::uniform_real_distribution<double>(0, 1)(random);
+  }
   std::size_t Below(std::size_t n) { return random_() % n; }
   void Push(TimePoint at, Kind kind, std::size_t a = 0, std::size_t b = 0) {
     events_.push(Event{at, order_++, kind, a, b});
@@ -127,7 +132,7 @@
   void Queue(std::size_t request, TimePoint until);
   void Drain(std::size_t instance, std::size_t queue);
   void Forward(std::size_t request, std::size_t data_centre);
-  void Send(std::size_t request, const Chosen& chosen);
+  void Send(std::size_t request, const Chosen& chosen, bool hedge);
   void Answer(std::size_t attempt);
   void Finish(std::size_t request);
   void Hedge(std::size_t attempt);
@@ -149,6 +154,10 @@
   FleetModelSettings fleet_;
   FleetScenario scenario_;
   std::mt19937_64 random_;
+  /// Arrivals and slowdowns have generators of their own, so that they are the same for each
+  /// policy.
+  std::mt19937_64 arrival_random_;
+  std::mt19937_64 slow_random_;
   TimePoint start_{Duration{1'000'000}};
   TimePoint now_{start_};
   std::priority_queue<Event> events_;
@@ -171,7 +180,11 @@
 };
 
 Model::Model(const FleetModelSettings& fleet, const FleetScenario& scenario)
-    : fleet_(fleet), scenario_(scenario), random_(scenario.seed) {
+    : fleet_(fleet),
+      scenario_(scenario),
+      random_(scenario.seed),
+      arrival_random_(scenario.seed + 1000),
+      slow_random_(scenario.seed + 2000) {
   BuildTargets();
   BuildInstances();
   for (std::size_t i = 0; i < instances_.size(); ++i) {
@@ -284,7 +297,7 @@
 void Model::Arrive(std::size_t service) {
   const ServiceModel& s = fleet_.services[service];
   const double rate = fleet_.utilisation * s.targets * fleet_.slots / s.mean_us;
-  const double gap = std::exponential_distribution<double>(rate)(random_);
+  const double gap = std::exponential_distribution<double>(rate)(arrival_random_);
   Push(now_ + Duration{static_cast<Duration::rep>(gap) + 1}, Kind::kArrival, service);
   std::size_t slot = requests_.size();
   if (free_requests_.empty()) {
@@ -296,9 +309,11 @@
   Request& request = requests_[slot];
   request = Request{.number = ++result_.requests, .service = service, .done = false};
   request.arrived = now_;
-  request.repeatable = Uniform() < s.repeatable;
-  if (s.keyed) request.shard = Below(shards_[service].size());
-  request.entry = Below(instances_.size());
+  request.repeatable = Uniform(arrival_random_) < s.repeatable;
+  const double mu = std::log(s.mean_us) - s.sigma * s.sigma / 2;
+  request.work_us = std::lognormal_distribution<double>(mu, s.sigma)(arrival_random_);
+  if (s.keyed) request.shard = arrival_random_() % shards_[service].size();
+  request.entry = arrival_random_() % instances_.size();
   Enter(slot, request.entry);
 }
 
@@ -353,7 +368,7 @@
   const Choice choice = instance.routing->Choose(now_, query, out_);
   SendAll(request.instance);
   if (const auto* chosen = std::get_if<Chosen>(&choice)) {
-    Send(slot, *chosen);
+    Send(slot, *chosen, false);
     return true;
   }
   if (const auto* spill = std::get_if<SpillOver>(&choice)) {
@@ -398,7 +413,7 @@
   Push(now_ + Duration{1'000}, Kind::kRetry, index, queue);
 }
 
-void Model::Send(std::size_t slot, const Chosen& chosen) {
+void Model::Send(std::size_t slot, const Chosen& chosen, bool hedge) {
   Request& request = requests_[slot];
   Instance& instance = instances_[request.instance];
   std::size_t target = 0;
@@ -427,7 +442,8 @@
   if (withdrawn_ && row.data_centre == 0) result_.last_new_work = now_ - At(scenario_.withdrawn_at);
   const ServiceModel& service = fleet_.services[request.service];
   const double mu = std::log(service.mean_us) - service.sigma * service.sigma / 2;
-  const double work = std::lognormal_distribution<double>(mu, service.sigma)(random_);
+  double work = std::lognormal_distribution<double>(mu, service.sigma)(random_);
+  if (!hedge) work = request.work_us;
   const auto duration = Duration{static_cast<Duration::rep>(work * SlowFactor(row))};
   ++result_.attempts;
   instance.routing->OnRequestStarted(now_, chosen.attempt);
@@ -494,7 +510,7 @@
   if (!chosen) return;
   ++result_.hedges;
   const std::size_t slot = first.request;
-  Send(slot, *chosen);
+  Send(slot, *chosen, true);
 }
 
 void Model::SendAll(std::size_t from) {
@@ -586,13 +602,14 @@
   Push(now_ + scenario_.slow_interval, Kind::kSlow);
   std::vector<std::size_t> feeds(feeds_);
   for (std::size_t i = 0; i < feeds_; ++i) feeds[i] = i;
-  std::shuffle(feeds.begin(), feeds.end(), random_);
+  std::shuffle(feeds.begin(), feeds.end(), slow_random_);
   std::size_t slowed = 0;
   for (const std::size_t feed : feeds) {
     if (slowed >= targets_.size() / 4) return;
     for (Target& target : targets_) {
       if (target.feed != feed || slowed >= targets_.size() / 4) continue;
-      const auto delay = Uniform() * static_cast<double>(scenario_.slow_stagger.count());
+      const auto delay =
+          Uniform(slow_random_) * static_cast<double>(scenario_.slow_stagger.count());
       target.slow_from = now_ + Duration{static_cast<Duration::rep>(delay)};
       target.slow_until = now_ + scenario_.slow_length;
       ++slowed;
