Pass evidence of a slowdown on before it suffices alone

Cause: each instance sees one or two of a target's unanswered requests and needed about five service times to be sure of a slowdown. Change: increases of the log-likelihood ratio are passed on, and fade within 100 ms.

--- a/packages/core/include/dogwoodport/core/routing_messages.h
+++ b/packages/core/include/dogwoodport/core/routing_messages.h
@@ -62,12 +62,15 @@
   std::uint8_t slow_state = 0;
   /// Number of slow states so far; a higher one replaces a lower one.
   std::uint32_t slow_episode = 0;
+  /// Increase of the log-likelihood ratio of a slowdown since the last message, in tenths.
+  std::uint8_t evidence = 0;
   /// Start of the ramp, counted by boot or detection; a higher one replaces a lower one.
   std::uint64_t ramp_episode = 0;
   /// Admitted concurrency of the ramp; 0 when the target is warm.
   std::uint32_t ramp_limit = 0;
 
-  MSGPACK_DEFINE_ARRAY(target, in_flight, slow_state, slow_episode, ramp_episode, ramp_limit)
+  MSGPACK_DEFINE_ARRAY(target, in_flight, slow_state, slow_episode, evidence, ramp_episode,
+                       ramp_limit)
 };
 
 /// Passes measurements to the instances of the same data centre.
--- a/packages/core/include/dogwoodport/core/slow_group_detector.h
+++ b/packages/core/include/dogwoodport/core/slow_group_detector.h
@@ -52,6 +52,13 @@
   void OnPeerState(TimePoint now, TargetTable& table, std::size_t index, SlowState state,
                    std::uint32_t episode);
 
+  /// Adds the evidence of another instance, which fades within about 100 ms. Complexity: constant.
+  static void OnPeerEvidence(TargetRow& row, double increase) noexcept;
+
+  /// Returns the evidence that the others do not know yet, if it is enough for a message, and
+  /// counts it as known. Complexity: constant.
+  static double TakeUnsentEvidence(TargetRow& row) noexcept;
+
   /// Counts a probe; ends an ejection after enough fast ones. Returns whether it ended now, in
   /// which case the caller starts a ramp. Complexity: constant.
   bool OnProbe(TimePoint now, TargetTable& table, std::size_t index, double latency_us);
--- a/packages/core/include/dogwoodport/core/target_table.h
+++ b/packages/core/include/dogwoodport/core/target_table.h
@@ -90,6 +90,11 @@
   SlowState slow = SlowState::kNormal;
   /// Cumulative log-likelihood ratio of "slowed" against "normal".
   double suspicion = 0;
+  /// `suspicion` with that of unanswered attempts, as of the last tick.
+  double evidence = 0;
+  /// Part of `evidence` that the other instances know, and what they know beyond this instance.
+  double sent_evidence = 0;
+  double peer_evidence = 0;
   std::uint32_t slow_episode = 0;
   TimePoint recovered;
   TimePoint hold_until;
--- a/packages/core/src/routing.cc
+++ b/packages/core/src/routing.cc
@@ -445,6 +445,7 @@
     row.ramp.Merge(now, evidence.ramp_episode, evidence.ramp_limit);
     if (!settings_.detect_slow) continue;
     const auto state = static_cast<SlowState>(evidence.slow_state & 3);
+    SlowGroupDetector::OnPeerEvidence(row, evidence.evidence / 10.0);
     detector_.OnPeerState(now, table_, *index, state, evidence.slow_episode);
   }
 }
@@ -516,7 +517,10 @@
 void Routing::SendChanges(Outbox& out) {
   TargetEvidence message;
   for (TargetRow& row : table_.rows()) {
-    if (std::exchange(row.changed, false)) message.rows.push_back(EvidenceOf(row));
+    const double evidence = SlowGroupDetector::TakeUnsentEvidence(row);
+    if (!std::exchange(row.changed, false) && evidence == 0) continue;
+    message.rows.push_back(EvidenceOf(row));
+    message.rows.back().evidence = static_cast<std::uint8_t>(std::min(evidence * 10, 255.0));
   }
   if (message.rows.empty()) return;
   for (const InstanceId member : data_centres_.Get(settings_.data_centre).members) {
--- a/packages/core/src/slow_group_detector.cc
+++ b/packages/core/src/slow_group_detector.cc
@@ -15,6 +15,11 @@
 // Per tick of 10 ms; halves suspicion without new answers in about a second.
 constexpr double kDecay = 0.993;
 
+// Per tick; evidence of others concerns attempts that run now.
+constexpr double kPeerDecay = 0.93;
+// Smaller increases are not worth a message.
+constexpr double kMinEvidence = 1.0;
+
 double Clamp(double ratio) noexcept { return std::min(ratio, kMaxRatio); }
 
 }  // namespace
@@ -81,6 +86,8 @@
   row.hold_until = now + row.ejection;
   row.fast_probes = 0;
   row.suspicion = 0;
+  row.evidence = 0;
+  row.peer_evidence = 0;
   row.changed = true;
   ++row.slow_episode;
   Learn(now, table, index);
@@ -115,6 +122,17 @@
   row.changed = false;
 }
 
+void SlowGroupDetector::OnPeerEvidence(TargetRow& row, double increase) noexcept {
+  if (row.slow < SlowState::kSlow) row.peer_evidence += increase;
+}
+
+double SlowGroupDetector::TakeUnsentEvidence(TargetRow& row) noexcept {
+  const double increase = row.evidence - row.sent_evidence;
+  if (increase < kMinEvidence) return 0;
+  row.sent_evidence = row.evidence;
+  return increase;
+}
+
 bool SlowGroupDetector::OnProbe(TimePoint now, TargetTable& table, std::size_t index,
                                 double latency_us) {
   TargetRow& row = table.rows()[index];
@@ -157,7 +175,10 @@
       if (gain <= 0) break;
       evidence += gain;
     }
-    if (evidence > settings_.threshold) Declare(now, table, i);
+    row.evidence = evidence;
+    row.sent_evidence = std::min(row.sent_evidence, evidence);
+    row.peer_evidence *= kPeerDecay;
+    if (evidence > 0 && evidence + row.peer_evidence > settings_.threshold) Declare(now, table, i);
   }
 }
 
