Give shards back to a recovered target only from owners above the load bound

Cause: the model returned every shard to its first owner, so that each slowdown made a key unavailable twice; placement moves shards for balance only above 1.25 of the mean load. Change: the model follows that rule.

--- a/standin/src/fleet_model.cc
+++ b/standin/src/fleet_model.cc
@@ -17,8 +17,9 @@
 // A cold target answers this many times slower and warms up over so many requests.
 constexpr double kColdFactor = 4.0;
 constexpr std::uint32_t kColdRequests = 40;
-// A moved shard goes back when its first owner has been fast for this time.
+// A relieved target takes shards again after it has been fast for this time.
 constexpr Duration kMoveBack{3'000'000};
+constexpr double kLoadBound = 1.25;
 
 struct Target {
   std::size_t service = 0;
@@ -36,7 +37,6 @@
 };
 
 struct Shard {
-  std::size_t first_owner = 0;
   std::size_t owner = 0;
   TimePoint available;
 };
@@ -146,6 +146,7 @@
   void ChangeState(std::size_t step);
   void MoveShards();
   void MoveFrom(std::size_t target, Duration delay);
+  void MoveBalance(std::size_t to);
   bool Cut(std::size_t a, std::size_t b) const;
   bool Withdrawn(std::size_t target) const;
   std::size_t QueueOf(const Request& request) const;
@@ -206,7 +207,7 @@
       Target target{.service = s, .data_centre = (i + s) % fleet_.data_centres.size()};
       target.id = TargetId::FromName(fleet_.services[s].name + "-" + std::to_string(i));
       for (std::uint32_t k = 0; fleet_.services[s].keyed && k < kShardsPerTarget; ++k) {
-        shards_[s].push_back(Shard{targets_.size(), targets_.size(), start_});
+        shards_[s].push_back(Shard{targets_.size(), start_});
       }
       targets_.push_back(target);
     }
@@ -681,15 +682,27 @@
       MoveFrom(t, scenario_.move_delay);
     } else if (target.relieved && now_ > target.fast_since + kMoveBack) {
       target.relieved = false;
-      for (Shard& shard : shards_[target.service]) {
-        if (shard.first_owner != t) continue;
-        shard.owner = t;
-        shard.available = now_ + scenario_.move_delay;
-      }
+      MoveBalance(t);
     }
   }
 }
 
+void Model::MoveBalance(std::size_t to) {
+  // As in placement: only owners above the load bound give shards away (design, section 4).
+  std::vector<std::size_t> counts(targets_.size());
+  std::vector<Shard>& shards = shards_[targets_[to].service];
+  for (const Shard& shard : shards) ++counts[shard.owner];
+  const double bound = kLoadBound * kShardsPerTarget;
+  for (Shard& shard : shards) {
+    const bool above = static_cast<double>(counts[shard.owner]) > bound;
+    if (shard.owner == to || !above || counts[to] >= kShardsPerTarget) continue;
+    --counts[shard.owner];
+    ++counts[to];
+    shard.owner = to;
+    shard.available = now_ + scenario_.move_delay;
+  }
+}
+
 void Model::Handle(const Event& event) {
   switch (event.kind) {
     case Kind::kArrival:
