--- a/packages/core/include/dogwoodport/core/cold_start.h
+++ b/packages/core/include/dogwoodport/core/cold_start.h
@@ -24,6 +24,8 @@
   /// Lower bound of the time on one step, so that the warm-up of a target that answers fast from a
   /// cache is not taken for the end of its cold start.
   static constexpr Duration kMinStep{50'000};
+  /// After a single fast answer, which a cold target may give by chance, a step up made it fail.
+  static constexpr std::uint32_t kAnswersPerUnit = 4;
   /// Answers slower than this many times the expected latency keep the ramp on its step.
   static constexpr double kSlowFactor = 2.0;
 
@@ -36,17 +38,18 @@
     step_started_ = now;
   }
 
-  /// Counts an answer; doubles the limit after as many fast answers as the limit. Without an
-  /// expected latency (0) all answers count as fast. Complexity: constant.
+  /// Counts an answer, a slow one against the fast ones; doubles the limit after `kAnswersPerUnit`
+  /// times the limit more fast ones than slow ones. Without an expected latency (0) all answers
+  /// count as fast. Complexity: constant.
   void OnSuccess(TimePoint now, double latency_us, double expected_us,
                  std::uint32_t slots) noexcept {
     if (limit_ == 0) return;
     if (expected_us > 0 && latency_us > kSlowFactor * expected_us) {
-      successes_ = 0;
+      successes_ -= successes_ > 0 ? 1 : 0;
       return;
     }
     ++successes_;
-    if (successes_ < limit_ || now < step_started_ + kMinStep) return;
+    if (successes_ < kAnswersPerUnit * limit_ || now < step_started_ + kMinStep) return;
     limit_ = limit_ * 2 >= slots ? 0 : limit_ * 2;
     successes_ = 0;
     step_started_ = now;
--- a/packages/core/include/dogwoodport/core/routing.h
+++ b/packages/core/include/dogwoodport/core/routing.h
@@ -216,7 +216,8 @@
   Choice ChooseFull(TimePoint now, const RouteRequest& request, ServiceRow& service, Outbox& out);
   std::optional<std::size_t> WarmUpTarget(TimePoint now, const RouteRequest& request,
                                           const ServiceRow& service);
-  std::optional<Chosen> Start(TimePoint now, std::size_t target, const RouteRequest& request);
+  std::optional<Chosen> Start(TimePoint now, std::size_t target, const RouteRequest& request,
+                              bool is_hedge);
   void BorrowFor(TimePoint now, ServiceRow& service, Outbox& out);
   Attempt* End(TimePoint now, AttemptId id);
   void MeasureEnd(TimePoint now, const Attempt& attempt, TargetRow& row,
--- a/packages/core/src/routing.cc
+++ b/packages/core/src/routing.cc
@@ -120,7 +120,7 @@
     if (waited_out) return Refused{RefusalReason::kNoTarget, kRetryAfter};
     return Wait{now + kOwnerAskAgain};
   }
-  if (const auto chosen = Start(now, *index, request)) return *chosen;
+  if (const auto chosen = Start(now, *index, request, false)) return *chosen;
   if (waited_out) return Refused{RefusalReason::kNoCapacity, kRetryAfter};
   ledger_.Borrow(now, row.slot_row, false, out);
   return Wait{now + kAskAgain};
@@ -142,7 +142,7 @@
     index = SelectTarget(settings_.policy, query, table_, service, ledger_);
   }
   if (index) {
-    if (const auto chosen = Start(now, *index, request)) return *chosen;
+    if (const auto chosen = Start(now, *index, request, false)) return *chosen;
   }
   return ChooseFull(now, request, service, out);
 }
@@ -163,7 +163,7 @@
     const SelectionQuery query{.now = now, .excluded = request.excluded, .allow_slow = true};
     const auto index = SelectTarget(settings_.policy, query, table_, service, ledger_);
     if (index) {
-      if (const auto chosen = Start(now, *index, request)) return *chosen;
+      if (const auto chosen = Start(now, *index, request, false)) return *chosen;
     }
   }
   const bool any = std::any_of(service.targets.begin(), service.targets.end(),
@@ -181,7 +181,7 @@
   }
   for (const std::size_t i : service.targets) {
     TargetRow& row = table_.rows()[i];
-    if (!row.ramp.ramping() || now < row.next_warm_up || row.slow >= SlowState::kSlow) continue;
+    if (!row.ramp.ramping() || now < row.next_warm_up || row.slow != SlowState::kNormal) continue;
     if (!TakesNewWork(row, now) || FreeSlots(row, ledger_, now) == 0) continue;
     row.next_warm_up = now + kWarmUpInterval;
     return i;
@@ -189,8 +189,8 @@
   return std::nullopt;
 }
 
-std::optional<Chosen> Routing::Start(TimePoint now, std::size_t target,
-                                     const RouteRequest& request) {
+std::optional<Chosen> Routing::Start(TimePoint now, std::size_t target, const RouteRequest& request,
+                                     bool is_hedge) {
   TargetRow& row = table_.rows()[target];
   const auto hold = ledger_.Acquire(now, row.slot_row, row.ramp.Limit(row.config.slots));
   if (!hold) return std::nullopt;
@@ -202,7 +202,8 @@
   attempt.hold = *hold;
   attempt.repeatable = request.repeatable && !request.owner;
   row.attempts.push_back(attempt);
-  routes_[attempt.route].hedge.OnAttempt();
+  attempt.is_hedge = is_hedge;
+  if (!is_hedge) routes_[attempt.route].hedge.OnAttempt();
   const bool verify = std::exchange(row.verify_connection, false);
   return Chosen{row.config.id, attempt.id, attempt.deadline, verify};
 }
@@ -336,10 +337,9 @@
                              .route = routes_[first->route].id,
                              .repeatable = true,
                              .deadline = first->deadline};
-  const auto chosen = Start(now, *index, request);
+  const auto chosen = Start(now, *index, request, true);
   if (!chosen) return std::nullopt;
   Attempt* second = attempts_.Find(chosen->attempt);
-  second->is_hedge = true;
   second->rival = first->id;
   first->rival = second->id;
   return chosen;
