Let a target that recovered from a slowdown ramp up faster than a cold one

Cause: after an ejection a keyed target without shards got no requests, so that its ramp stood at 1 when the shards returned. Change: one fast answer per unit suffices after an ejection, and fast probes count as answers.

--- a/packages/core/include/dogwoodport/core/cold_start.h
+++ b/packages/core/include/dogwoodport/core/cold_start.h
@@ -30,17 +30,19 @@
   static constexpr double kSlowFactor = 2.0;
 
   /// Begins at 1 under `episode`; a lower or equal episode has no effect. Complexity: constant.
-  void Start(TimePoint now, std::uint64_t episode) noexcept {
+  /// `cold` is false for a target that recovered from a slowdown: its slots are known to work.
+  void Start(TimePoint now, std::uint64_t episode, bool cold = true) noexcept {
     if (episode <= episode_) return;
+    answers_per_unit_ = cold ? kAnswersPerUnit : 1;
     episode_ = episode;
     limit_ = 1;
     successes_ = 0;
     step_started_ = now;
   }
 
-  /// Counts an answer, a slow one against the fast ones; doubles the limit after `kAnswersPerUnit`
-  /// times the limit more fast ones than slow ones. Without an expected latency (0) all answers
-  /// count as fast. Complexity: constant.
+  /// Counts an answer, a slow one against the fast ones; doubles the limit after
+  /// `kAnswersPerUnit` times the limit more fast ones than slow ones. Without an expected latency
+  /// (0) all answers count as fast. Complexity: constant.
   void OnSuccess(TimePoint now, double latency_us, double expected_us,
                  std::uint32_t slots) noexcept {
     if (limit_ == 0) return;
@@ -49,7 +51,7 @@
       return;
     }
     ++successes_;
-    if (successes_ < kAnswersPerUnit * limit_ || now < step_started_ + kMinStep) return;
+    if (successes_ < answers_per_unit_ * limit_ || now < step_started_ + kMinStep) return;
     limit_ = limit_ * 2 >= slots ? 0 : limit_ * 2;
     successes_ = 0;
     step_started_ = now;
@@ -89,6 +91,7 @@
   std::uint64_t episode_ = 0;
   std::uint32_t limit_ = 0;
   std::uint32_t successes_ = 0;
+  std::uint32_t answers_per_unit_ = kAnswersPerUnit;
   TimePoint step_started_;
 };
 
--- a/packages/core/src/routing.cc
+++ b/packages/core/src/routing.cc
@@ -346,7 +346,7 @@
 }
 
 void Routing::StartRamp(TimePoint now, TargetRow& row, bool cold) {
-  row.ramp.Start(now, row.ramp.episode() + 1);
+  row.ramp.Start(now, row.ramp.episode() + 1, cold);
   row.cold = cold;
   row.next_warm_up = now;
   row.changed = true;
@@ -374,6 +374,9 @@
   ApplyState(now, row, report);
   if (returned && !row.ramp.ramping()) StartRamp(now, row, true);
   if (!settings_.detect_slow) return;
+  // A target whose shards moved away gets no requests; fast probes take their place.
+  const bool recovering = row.ramp.ramping() && !row.cold && row.slow == SlowState::kNormal;
+  if (recovering) row.ramp.OnSuccess(now, 0, 1, row.config.slots);
   if (detector_.OnProbe(now, table_, index, Micros(report.latency))) StartRamp(now, row, false);
 }
 
