--- /dev/null
+++ b/packages/client/include/dogwoodport/client/client_settings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+/// @file
+/// Settings of `dogwoodctl`, read from a JSON file. docs/dogwoodctl.md has an example.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dogwoodport/core/types.h"
+
+namespace dogwoodport {
+
+/// Operators' address of an instance.
+struct InstanceAddress {
+  std::string name;
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+struct ClientSettings {
+  /// Name of the operator for the audit.
+  std::string actor;
+  std::string log_host;
+  std::uint16_t log_port = 0;
+  std::string log = "control";
+  std::vector<InstanceAddress> instances;
+  std::string operator_secret;
+  /// How long a change is tried while the log service is unreachable or loses its answers.
+  Duration log_wait{10'000'000};
+  /// How long the client waits for a change to be in force on the instances; P12 promises 3 s.
+  Duration in_force_wait{5'000'000};
+  Duration answer_timeout{2'000'000};
+};
+
+/// Reads settings from JSON text; `file` is for error texts.
+/// Throws `ClientError` that lists each error with file, JSON pointer, value and expectation. The
+/// value of a secret is never part of it.
+ClientSettings ReadClientSettings(std::string_view file, std::string_view text);
+
+/// Reads settings from a file. Throws `ClientError` when it can't be read or is invalid.
+ClientSettings LoadClientSettings(const std::string& path);
+
+/// Returns the content of a file. Throws `ClientError` with status `kUsage`.
+std::string ReadFile(const std::string& path);
+
+}  // namespace dogwoodport
--- /dev/null
+++ b/packages/client/include/dogwoodport/client/detail/command.h
@@ -0,0 +1,102 @@
+#pragma once
+
+/// @file
+/// What the subcommands of `dogwoodctl` share.
+
+#include <cxxopts.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "dogwoodport/client/cli.h"
+#include "dogwoodport/client/client_error.h"
+#include "dogwoodport/client/log_view.h"
+#include "dogwoodport/client/output.h"
+#include "dogwoodport/client/publisher.h"
+
+namespace dogwoodport::detail {
+
+/// One run of a subcommand. The log and the instances are opened on first use.
+class CommandContext {
+ public:
+  CommandContext(const CliEnvironment& environment, ClientSettings client_settings,
+                 OutputFormat output_format, const cxxopts::ParseResult& parsed,
+                 std::vector<std::string> positional)
+      : env(environment),
+        settings(std::move(client_settings)),
+        format(output_format),
+        options(parsed),
+        arguments(std::move(positional)) {}
+
+  LogService& Log();
+  LogView& View();
+  const ControlState& State() { return View().state(); }
+  InstanceClient& Instances();
+
+  /// Returns the value of a required option. Throws `ClientError` with `kUsage`.
+  std::string Required(const std::string& option) const;
+
+  /// Prints the command's result on the output.
+  void PrintResult(const nlohmann::ordered_json& value) const { Print(env.out, format, value); }
+
+  /// Reports that nothing had to be changed.
+  void ReportUnchanged(const std::string& what) const;
+
+  /// Publishes a change with the option `reason`, waits until it is in force on the instances and
+  /// prints the result. Throws `ClientError` when it is stale (`kConflict`, after printing what was
+  /// changed by others) or refused (`kFailed`).
+  void PublishChange(RecordBody body);
+
+  const CliEnvironment& env;
+  ClientSettings settings;
+  OutputFormat format;
+  const cxxopts::ParseResult& options;
+  std::vector<std::string> arguments;
+
+ private:
+  Record MakeRecord(RecordBody body) const;
+  std::vector<std::string> AwaitInForce(std::uint64_t offset);
+  [[noreturn]] void RefuseStale(const Publication& publication, std::uint64_t known,
+                                const std::string& known_document);
+
+  std::shared_ptr<LogService> log_;
+  std::unique_ptr<LogView> view_;
+  std::shared_ptr<InstanceClient> instances_;
+};
+
+/// A subcommand: "config show" with its arguments.
+struct Command {
+  const char* name;
+  /// Names of the positional arguments, separated by spaces.
+  const char* arguments;
+  const char* summary;
+  void (*define)(cxxopts::Options&);
+  void (*run)(CommandContext&);
+};
+
+std::span<const Command> ConfigCommands();
+std::span<const Command> ChangeCommands();
+std::span<const Command> ReadCommands();
+
+/// Adds the option `reason`.
+void DefineReason(cxxopts::Options& options);
+
+/// Returns the difference of two documents as rows of op, path, from and to. At most
+/// `kMaxDifferences` are listed. Complexity: their number times the size of the document.
+nlohmann::ordered_json DescribeDifference(const nlohmann::json& from, const nlohmann::json& to);
+
+inline constexpr std::size_t kMaxDifferences = 200;
+
+/// Returns the audit entries as rows.
+nlohmann::ordered_json DescribeAudit(std::span<const AuditEntry> entries);
+
+/// Checks a document. Prints its faults and throws `ClientError` with `kFailed` if it has some. The
+/// values of faults in secrets are hidden, since somebody may have written a plain secret there.
+void CheckDocument(const CommandContext& context, const nlohmann::json& document);
+
+/// Returns the document in force.
+nlohmann::json CurrentDocument(const ControlState& state);
+
+}  // namespace dogwoodport::detail
--- a/packages/client/main/dogwoodctl.cc
+++ b/packages/client/main/dogwoodctl.cc
@@ -1,1 +1,41 @@
-int main() { return 0; }
+#include <iostream>
+#include <random>
+
+#include "dogwoodport/client/cli.h"
+#include "dogwoodport/platform/http_log_service.h"
+
+namespace dogwoodport {
+namespace {
+
+std::shared_ptr<LogService> OpenLog(const ClientSettings& settings) {
+  HttpLogSettings log;
+  log.host = settings.log_host;
+  log.port = settings.log_port;
+  log.log = settings.log;
+  return std::make_shared<HttpLogService>(log);
+}
+
+std::shared_ptr<InstanceClient> OpenInstances(const ClientSettings& settings) {
+  return std::make_shared<HttpInstanceClient>(settings.operator_secret, settings.answer_timeout);
+}
+
+std::uint64_t Random64() {
+  // Salts of secrets come from here, so the system's generator is read for each value.
+  std::random_device device;
+  return (std::uint64_t{device()} << 32U) | device();
+}
+
+}  // namespace
+}  // namespace dogwoodport
+
+int main(int argc, char** argv) {
+  dogwoodport::SystemTimer timer;
+  const dogwoodport::CliEnvironment environment{dogwoodport::OpenLog,
+                                                dogwoodport::OpenInstances,
+                                                timer,
+                                                dogwoodport::Random64,
+                                                std::cin,
+                                                std::cout,
+                                                std::cerr};
+  return dogwoodport::RunCli({argv + 1, argv + argc}, environment);
+}
--- /dev/null
+++ b/packages/client/src/command.cc
@@ -0,0 +1,212 @@
+#include "dogwoodport/client/detail/command.h"
+
+#include <ctime>
+
+#include "dogwoodport/core/config_reader.h"
+
+namespace dogwoodport::detail {
+namespace {
+
+using nlohmann::json;
+using nlohmann::ordered_json;
+
+constexpr Duration kInForcePoll{100'000};
+
+const char* OutcomeText(ApplyOutcome outcome) {
+  switch (outcome) {
+    case ApplyOutcome::kApplied:
+      return "applied";
+    case ApplyOutcome::kStale:
+      return "stale";
+    case ApplyOutcome::kRepeated:
+      return "repeated";
+    case ApplyOutcome::kRefused:
+      break;
+  }
+  return "refused";
+}
+
+std::string TimeText(std::int64_t unix_ms) {
+  const std::time_t seconds = unix_ms / 1000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 32> buf{};
+  std::strftime(buf.data(), buf.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return buf.data();
+}
+
+/// Returns the value at `pointer`, or null.
+json ValueAt(const json& document, const std::string& pointer) {
+  const json::json_pointer path(pointer);
+  return document.contains(path) ? document.at(path) : json();
+}
+
+}  // namespace
+
+LogService& CommandContext::Log() {
+  if (log_ == nullptr) log_ = env.open_log(settings);
+  return *log_;
+}
+
+LogView& CommandContext::View() {
+  if (view_ == nullptr) view_ = std::make_unique<LogView>(Log(), env.timer.UnixMs());
+  return *view_;
+}
+
+InstanceClient& CommandContext::Instances() {
+  if (instances_ == nullptr) instances_ = env.open_instances(settings);
+  return *instances_;
+}
+
+std::string CommandContext::Required(const std::string& option) const {
+  std::string value = options.count(option) > 0 ? options[option].as<std::string>() : "";
+  if (value.find_first_not_of(" \t\n") == std::string::npos) {
+    throw ClientError(ExitStatus::kUsage, "--" + option + " is required");
+  }
+  return value;
+}
+
+void CommandContext::ReportUnchanged(const std::string& what) const {
+  PrintResult({{"result", "unchanged"}, {"detail", what}});
+}
+
+Record CommandContext::MakeRecord(RecordBody body) const {
+  Record record;
+  // Each command is a writer of its own, so that two of one operator don't make each other stale.
+  record.writer = InstanceId{env.random()};
+  record.incarnation = Incarnation{1};
+  record.sequence = 1;
+  record.actor = settings.actor;
+  record.reason = Required("reason");
+  record.time_ms = env.timer.UnixMs();
+  record.body = std::move(body);
+  return record;
+}
+
+void CommandContext::PublishChange(RecordBody body) {
+  const Record record = MakeRecord(std::move(body));
+  const std::uint64_t known = State().next_offset();
+  const std::string known_document = State().document();
+  Publisher publisher(Log(), View(), env.timer, env.err, settings.log_wait);
+  const Publication publication = publisher.Publish(record);
+  if (publication.outcome == ApplyOutcome::kStale) RefuseStale(publication, known, known_document);
+  if (publication.outcome != ApplyOutcome::kApplied) {
+    throw ClientError(ExitStatus::kFailed, "refused: " + publication.detail);
+  }
+  env.err << "accepted at offset " << publication.offset << "\n";
+  const std::vector<std::string> missing = AwaitInForce(publication.offset);
+  PrintResult({{"result", "accepted"},
+               {"offset", publication.offset},
+               {"in_force_on", settings.instances.size() - missing.size()},
+               {"instances", settings.instances.size()},
+               {"not_confirmed", missing}});
+}
+
+void CommandContext::RefuseStale(const Publication& publication, std::uint64_t known,
+                                 const std::string& known_document) {
+  std::vector<AuditEntry> others;
+  for (const AuditEntry& entry : State().audit()) {
+    const bool between = entry.offset >= known && entry.offset < publication.offset;
+    if (between && entry.outcome == ApplyOutcome::kApplied) others.push_back(entry);
+  }
+  env.err << "changes by others since this command read the log:\n";
+  PrintResult(DescribeAudit(others));
+  if (State().document() != known_document) {
+    env.err << "difference that they made to the configuration:\n";
+    PrintResult(DescribeDifference(json::parse(known_document.empty() ? "{}" : known_document),
+                                   CurrentDocument(State())));
+  }
+  throw ClientError(ExitStatus::kConflict, "another change was first (" + publication.detail +
+                                               "); nothing of this one is in force");
+}
+
+std::vector<std::string> CommandContext::AwaitInForce(std::uint64_t offset) {
+  std::vector<std::string> missing;
+  for (const InstanceAddress& instance : settings.instances) missing.push_back(instance.name);
+  const TimePoint end = env.timer.Now() + settings.in_force_wait;
+  while (true) {
+    const std::size_t before = missing.size();
+    for (const InstanceAddress& instance : settings.instances) {
+      const auto it = std::find(missing.begin(), missing.end(), instance.name);
+      if (it == missing.end()) continue;
+      try {
+        const ordered_json page = Instances().Get(instance, "/-/status");
+        if (page.value("applied_offset", std::uint64_t{0}) >= offset) missing.erase(it);
+      } catch (const std::exception&) {
+        // An instance that does not answer, or answers something else, has not confirmed.
+      }
+    }
+    if (missing.size() < before) {
+      env.err << "in force on " << settings.instances.size() - missing.size() << " of "
+              << settings.instances.size() << " instances\n";
+    }
+    if (missing.empty() || env.timer.Now() >= end || !env.timer.Sleep(kInForcePoll)) break;
+  }
+  for (const std::string& name : missing) env.err << "not confirmed by " << name << "\n";
+  return missing;
+}
+
+void DefineReason(cxxopts::Options& options) {
+  options.add_options()("reason", "why, for the audit (required)", cxxopts::value<std::string>(),
+                        "TEXT");
+}
+
+ordered_json DescribeDifference(const json& from, const json& to) {
+  ordered_json rows = ordered_json::array();
+  json current = from;
+  for (const json& operation : json::diff(from, to)) {
+    if (rows.size() == kMaxDifferences) {
+      rows.push_back(
+          {{"op", "more"}, {"path", "(not listed)"}, {"from", nullptr}, {"to", nullptr}});
+      break;
+    }
+    const std::string path = operation["path"].get<std::string>();
+    const bool has_old = operation["op"] != "add";
+    rows.push_back({{"op", operation["op"]},
+                    {"path", path},
+                    {"from", has_old ? ordered_json(ValueAt(current, path)) : ordered_json()},
+                    {"to", ordered_json(operation.value("value", json()))}});
+    // Later paths count from the document after this operation.
+    current = current.patch(json::array({operation}));
+  }
+  return rows;
+}
+
+ordered_json DescribeAudit(std::span<const AuditEntry> entries) {
+  ordered_json rows = ordered_json::array();
+  for (const AuditEntry& entry : entries) {
+    rows.push_back({{"offset", entry.offset},
+                    {"time", TimeText(entry.time_ms)},
+                    {"actor", entry.actor},
+                    {"what", entry.what},
+                    {"from", entry.from},
+                    {"to", entry.to},
+                    {"reason", entry.reason},
+                    {"outcome", OutcomeText(entry.outcome)},
+                    {"detail", entry.detail}});
+  }
+  return rows;
+}
+
+void CheckDocument(const CommandContext& context, const json& document) {
+  try {
+    ReadConfig(document, context.env.timer.UnixMs());
+  } catch (const ConfigError& e) {
+    ordered_json rows = ordered_json::array();
+    for (const ConfigFault& fault : e.faults()) {
+      const bool secret = fault.pointer.find("/secrets") != std::string::npos;
+      rows.push_back({{"pointer", fault.pointer},
+                      {"value", secret ? "(hidden)" : fault.value},
+                      {"expected", fault.expectation}});
+    }
+    context.PrintResult(rows);
+    throw ClientError(ExitStatus::kFailed,
+                      "the document has " + std::to_string(rows.size()) + " fault(s)");
+  }
+}
+
+json CurrentDocument(const ControlState& state) {
+  return state.document().empty() ? json::object() : json::parse(state.document());
+}
+
+}  // namespace dogwoodport::detail
--- /dev/null
+++ b/packages/client/src/commands_change.cc
@@ -0,0 +1,266 @@
+// Subcommands that change accounts, data centres, targets and quarantine.
+
+#include <openssl/evp.h>
+
+#include <charconv>
+#include <istream>
+
+#include "dogwoodport/client/detail/command.h"
+
+namespace dogwoodport::detail {
+namespace {
+
+using nlohmann::ordered_json;
+
+constexpr std::size_t kMinRandomChars = 16;
+constexpr std::size_t kMaxKeyIdChars = 63;
+
+std::string ToHexText(std::span<const unsigned char> bytes) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (const unsigned char byte : bytes) {
+    text += kDigits[byte >> 4];
+    text += kDigits[byte & 0xF];
+  }
+  return text;
+}
+
+std::string HexNumber(std::uint64_t value) {
+  std::array<unsigned char, 8> bytes{};
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    bytes[n] = static_cast<unsigned char>(value >> (56 - 8 * n));
+  }
+  return ToHexText(bytes);
+}
+
+const AccountConfig& FindAccount(CommandContext& context, const std::string& name) {
+  for (const AccountConfig& account : context.State().config()->accounts) {
+    if (account.name == name) return account;
+  }
+  throw ClientError(ExitStatus::kFailed, "unknown client account '" + name + "'");
+}
+
+void ListAccounts(CommandContext& context) {
+  ordered_json rows = ordered_json::array();
+  for (const AccountConfig& account : context.State().config()->accounts) {
+    ordered_json ids = ordered_json::array();
+    for (const SecretConfig& secret : account.secrets) ids.push_back(secret.key_id);
+    rows.push_back({{"account", account.name},
+                    {"rate", account.rate},
+                    {"burst", account.burst},
+                    {"weight", account.weight},
+                    {"key_ids", ids}});
+  }
+  context.PrintResult(rows);
+}
+
+/// Reads the new secret from the first line of a file or of the standard input.
+std::string ReadNewSecret(CommandContext& context) {
+  std::string text;
+  if (context.options.count("secret-file") > 0) {
+    text = ReadFile(context.options["secret-file"].as<std::string>());
+    text = text.substr(0, text.find('\n'));
+  } else {
+    std::getline(context.env.in, text);
+  }
+  if (!text.empty() && text.back() == '\r') text.pop_back();
+  const std::size_t dot = text.find('.');
+  const bool shaped = dot != std::string::npos && dot > 0 && dot <= kMaxKeyIdChars &&
+                      text.size() - dot - 1 >= kMinRandomChars;
+  if (!shaped || text.find_first_of(" \t") != std::string::npos) {
+    throw ClientError(ExitStatus::kUsage,
+                      "the new secret must be one line '<key id>.<random>' with at least 16 "
+                      "characters after the dot; its value is not shown");
+  }
+  return text;
+}
+
+/// Returns a secret as the configuration stores it: SHA-256 of the salt's bytes and the secret.
+SecretConfig StoreSecret(std::span<const unsigned char> salt, const std::string& secret) {
+  std::string input(salt.begin(), salt.end());
+  input += secret;
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int size = 0;
+  if (EVP_Digest(input.data(), input.size(), digest.data(), &size, EVP_sha256(), nullptr) != 1) {
+    throw ClientError(ExitStatus::kFailed, "SHA-256 is not available");
+  }
+  return {secret.substr(0, secret.find('.')), ToHexText(salt),
+          ToHexText(std::span(digest).first(size))};
+}
+
+std::vector<unsigned char> FromHexText(const std::string& text) {
+  std::vector<unsigned char> bytes;
+  for (std::size_t n = 0; n + 1 < text.size(); n += 2) {
+    unsigned char byte = 0;
+    std::from_chars(text.data() + n, text.data() + n + 2, byte, 16);
+    bytes.push_back(byte);
+  }
+  return bytes;
+}
+
+std::array<unsigned char, 16> MakeSalt(const CliEnvironment& env) {
+  std::array<unsigned char, 16> salt{};
+  for (std::size_t n = 0; n < salt.size(); n += 8) {
+    const std::uint64_t bits = env.random();
+    for (std::size_t k = 0; k < 8; ++k) salt[n + k] = static_cast<unsigned char>(bits >> (8 * k));
+  }
+  return salt;
+}
+
+void DefineRotate(cxxopts::Options& options) {
+  options.add_options()("secret-file",
+                        "file whose first line is the new secret; default: standard input",
+                        cxxopts::value<std::string>(), "FILE");
+  DefineReason(options);
+}
+
+void RotateSecret(CommandContext& context) {
+  context.Required("reason");
+  const std::string secret = ReadNewSecret(context);
+  const AccountConfig& account = FindAccount(context, context.arguments[0]);
+  const SecretConfig stored = StoreSecret(MakeSalt(context.env), secret);
+  for (const SecretConfig& valid : account.secrets) {
+    if (valid.key_id != stored.key_id) continue;
+    if (StoreSecret(FromHexText(valid.salt_hex), secret).hash_hex == valid.hash_hex) {
+      context.ReportUnchanged("the secret with key id '" + stored.key_id + "' is valid");
+      return;
+    }
+    throw ClientError(ExitStatus::kFailed, "the account has another secret with this key id");
+  }
+  const std::uint64_t version = context.State().secrets_version(account.id);
+  context.PublishChange(SecretChange{account.name, version, SecretAction::kAdd, stored});
+}
+
+/// Returns whether the audit shows that the key id was withdrawn from the account.
+bool WasWithdrawn(CommandContext& context, const std::string& account, const std::string& key_id) {
+  for (const AuditEntry& entry : context.State().audit()) {
+    if (entry.what == "secret_change " + account && entry.outcome == ApplyOutcome::kApplied &&
+        entry.to.ends_with(", withdraw " + key_id)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void WithdrawSecret(CommandContext& context) {
+  context.Required("reason");
+  const AccountConfig& account = FindAccount(context, context.arguments[0]);
+  const std::string& key_id = context.arguments[1];
+  const bool valid =
+      std::any_of(account.secrets.begin(), account.secrets.end(),
+                  [&](const SecretConfig& secret) { return secret.key_id == key_id; });
+  if (!valid && WasWithdrawn(context, account.name, key_id)) {
+    context.ReportUnchanged("key id '" + key_id + "' was withdrawn before");
+    return;
+  }
+  if (!valid) {
+    // A mistyped key id must not look like a withdrawal.
+    throw ClientError(ExitStatus::kFailed,
+                      "'" + account.name + "' has no valid secret with this key id");
+  }
+  const std::uint64_t version = context.State().secrets_version(account.id);
+  context.PublishChange(SecretChange{account.name, version, SecretAction::kWithdraw, {key_id}});
+}
+
+template <typename List>
+void RequireName(const List& list, const std::string& name, const char* kind) {
+  for (const auto& entry : list) {
+    if (entry.name == name) return;
+  }
+  throw ClientError(ExitStatus::kFailed, std::string("unknown ") + kind + " '" + name + "'");
+}
+
+void ChangeDataCentre(CommandContext& context, DataCentreState state) {
+  context.Required("reason");
+  const std::string& name = context.arguments[0];
+  RequireName(context.State().config()->data_centres, name, "data centre");
+  const auto current = context.State().data_centre(DataCentreId::FromName(name));
+  if (current.state == state) {
+    context.ReportUnchanged("data centre '" + name + "' is in this state");
+    return;
+  }
+  context.PublishChange(DataCentreChange{name, current.version, state});
+}
+
+void ChangeTarget(CommandContext& context, TargetState state) {
+  context.Required("reason");
+  const std::string& name = context.arguments[0];
+  RequireName(context.State().config()->targets, name, "target");
+  const auto current = context.State().target(TargetId::FromName(name));
+  if (current.state == state) {
+    context.ReportUnchanged("target '" + name + "' is in this state");
+    return;
+  }
+  context.PublishChange(TargetChange{name, current.version, state});
+}
+
+void WithdrawDataCentre(CommandContext& context) {
+  ChangeDataCentre(context, DataCentreState::kWithdrawn);
+}
+void ReturnDataCentre(CommandContext& context) {
+  ChangeDataCentre(context, DataCentreState::kInService);
+}
+void DeclareDataCentreLost(CommandContext& context) {
+  ChangeDataCentre(context, DataCentreState::kLost);
+}
+void DrainTarget(CommandContext& context) { ChangeTarget(context, TargetState::kDraining); }
+void ReturnTarget(CommandContext& context) { ChangeTarget(context, TargetState::kInService); }
+
+void ListQuarantine(CommandContext& context) {
+  ordered_json rows = ordered_json::array();
+  for (const auto& [fingerprint, entry] : context.State().quarantined()) {
+    const bool held = entry.state == QuarantineState::kQuarantined;
+    rows.push_back({{"fingerprint", HexNumber(fingerprint)},
+                    {"state", held ? "quarantined" : "released"},
+                    {"offset", entry.offset}});
+  }
+  context.PrintResult(rows);
+}
+
+void ReleaseQuarantine(CommandContext& context) {
+  context.Required("reason");
+  const std::string& text = context.arguments[0];
+  std::uint64_t fingerprint = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), fingerprint, 16);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    throw ClientError(ExitStatus::kUsage, "FINGERPRINT is '" + Printable(text) +
+                                              "', expected 1 to 16 hexadecimal digits");
+  }
+  const QuarantineEntry* entry = context.State().quarantine(fingerprint);
+  if (entry == nullptr) {
+    throw ClientError(ExitStatus::kFailed, "no quarantined fingerprint " + HexNumber(fingerprint));
+  }
+  if (entry->state == QuarantineState::kReleased) {
+    context.ReportUnchanged("the fingerprint is released");
+    return;
+  }
+  context.PublishChange(QuarantineChange{fingerprint, entry->version, QuarantineState::kReleased});
+}
+
+constexpr std::array kCommands = {
+    Command{"accounts list", "", "list client accounts with limits and key ids", nullptr,
+            ListAccounts},
+    Command{"accounts rotate", "ACCOUNT", "add a secret; the present one stays valid", DefineRotate,
+            RotateSecret},
+    Command{"accounts withdraw", "ACCOUNT KEY_ID", "withdraw a secret for good", DefineReason,
+            WithdrawSecret},
+    Command{"datacentre withdraw", "NAME", "take a data centre out of service", DefineReason,
+            WithdrawDataCentre},
+    Command{"datacentre return", "NAME", "return a data centre to service", DefineReason,
+            ReturnDataCentre},
+    Command{"datacentre declare-lost", "NAME", "let others take the keys of a data centre",
+            DefineReason, DeclareDataCentreLost},
+    Command{"targets drain", "NAME", "send a target no new work", DefineReason, DrainTarget},
+    Command{"targets return", "NAME", "return a target to service", DefineReason, ReturnTarget},
+    Command{"quarantine list", "", "list quarantined request fingerprints", nullptr,
+            ListQuarantine},
+    Command{"quarantine release", "FINGERPRINT", "accept requests with a fingerprint again",
+            DefineReason, ReleaseQuarantine},
+};
+
+}  // namespace
+
+std::span<const Command> ChangeCommands() { return kCommands; }
+
+}  // namespace dogwoodport::detail
--- /dev/null
+++ b/packages/client/src/commands_read.cc
@@ -0,0 +1,163 @@
+// Subcommands that read the instances' pages, and the audit.
+
+#include "dogwoodport/client/detail/command.h"
+
+namespace dogwoodport::detail {
+namespace {
+
+using nlohmann::ordered_json;
+
+constexpr Duration kFollowPoll{1'000'000};
+
+void DefineInstance(cxxopts::Options& options) {
+  options.add_options()("instance", "ask only this instance", cxxopts::value<std::string>(),
+                        "NAME");
+}
+
+std::vector<InstanceAddress> ChosenInstances(const CommandContext& context) {
+  const auto& all = context.settings.instances;
+  if (all.empty()) throw ClientError(ExitStatus::kUsage, "the settings list no instances");
+  if (context.options.count("instance") == 0) return all;
+  const auto name = context.options["instance"].as<std::string>();
+  for (const InstanceAddress& instance : all) {
+    if (instance.name == name) return {instance};
+  }
+  throw ClientError(ExitStatus::kUsage, "the settings list no instance '" + Printable(name) + "'");
+}
+
+/// Returns the list of objects of a page: the page itself or its only list; else the page as one.
+ordered_json RowsOf(const ordered_json& page) {
+  if (page.is_array()) return page;
+  const ordered_json* only = nullptr;
+  for (const auto& [name, value] : page.items()) {
+    if (!value.is_array()) continue;
+    if (only != nullptr) return ordered_json::array({page});
+    only = &value;
+  }
+  const bool objects =
+      only != nullptr && std::all_of(only->begin(), only->end(),
+                                     [](const ordered_json& row) { return row.is_object(); });
+  return objects ? *only : ordered_json::array({page});
+}
+
+void AddRows(ordered_json& rows, const std::string& instance, const ordered_json& page) {
+  for (const ordered_json& entry : RowsOf(page)) {
+    ordered_json row = {{"asked", instance}};
+    if (entry.is_object()) {
+      row.update(entry);
+    } else {
+      row["value"] = entry;
+    }
+    rows.push_back(std::move(row));
+  }
+}
+
+/// Prints a page of each chosen instance. Throws `ClientError` when no instance gave it.
+void PrintPages(CommandContext& context, const std::string& path) {
+  ordered_json pages = ordered_json::array();
+  ordered_json rows = ordered_json::array();
+  std::size_t answered = 0;
+  ExitStatus status = ExitStatus::kUnreachable;
+  for (const InstanceAddress& instance : ChosenInstances(context)) {
+    try {
+      const ordered_json page = context.Instances().Get(instance, path);
+      ++answered;
+      pages.push_back({{"instance", instance.name}, {"page", page}});
+      AddRows(rows, instance.name, page);
+    } catch (const ClientError& e) {
+      if (e.status() != ExitStatus::kUnreachable) status = e.status();
+      context.env.err << Printable(e.what()) << "\n";
+      pages.push_back({{"instance", instance.name}, {"error", e.what()}});
+    }
+  }
+  if (answered == 0) throw ClientError(status, "no instance gave the page " + path);
+  context.PrintResult(context.format == OutputFormat::kJson ? pages : rows);
+}
+
+void ShowStatus(CommandContext& context) { PrintPages(context, "/-/status"); }
+void ShowInstances(CommandContext& context) { PrintPages(context, "/-/instances"); }
+void ShowTargets(CommandContext& context) { PrintPages(context, "/-/targets"); }
+void ShowShards(CommandContext& context) { PrintPages(context, "/-/shards"); }
+
+void DefineOwners(cxxopts::Options& options) {
+  options.add_options()("service", "keyed service (required)", cxxopts::value<std::string>(),
+                        "NAME");
+  DefineInstance(options);
+}
+
+void ShowOwners(CommandContext& context) {
+  PrintPages(context, "/-/owners?service=" + EncodeQueryValue(context.Required("service")) +
+                          "&key=" + EncodeQueryValue(context.arguments[0]));
+}
+
+void ShowLimits(CommandContext& context) {
+  PrintPages(context, "/-/limits?account=" + EncodeQueryValue(context.arguments[0]));
+}
+
+void DefineOrders(cxxopts::Options& options) {
+  options.add_options()("account", "client account (required)", cxxopts::value<std::string>(),
+                        "NAME");
+  DefineInstance(options);
+}
+
+void ShowOrders(CommandContext& context) {
+  PrintPages(context, "/-/orders?account=" + EncodeQueryValue(context.Required("account")) +
+                          "&key=" + EncodeQueryValue(context.arguments[0]));
+}
+
+void DefineAudit(cxxopts::Options& options) {
+  options.add_options()("follow", "go on printing new entries until interrupted")(
+      "from", "first offset to print", cxxopts::value<std::uint64_t>()->default_value("0"),
+      "OFFSET");
+}
+
+/// Prints entries from offset `from` and returns the offset after the last one.
+std::uint64_t PrintAudit(CommandContext& context, std::uint64_t from, bool even_if_empty) {
+  std::vector<AuditEntry> entries;
+  for (const AuditEntry& entry : context.State().audit()) {
+    if (entry.offset >= from) entries.push_back(entry);
+  }
+  if (!entries.empty() || even_if_empty) {
+    context.PrintResult(DescribeAudit(entries));
+    context.env.out.flush();
+  }
+  return std::max(from, context.State().next_offset());
+}
+
+void ShowAudit(CommandContext& context) {
+  std::uint64_t next = PrintAudit(context, context.options["from"].as<std::uint64_t>(), true);
+  if (context.options.count("follow") == 0) return;
+  bool down = false;
+  while (context.env.timer.Sleep(kFollowPoll)) {
+    try {
+      context.View().CatchUp();
+      if (down) context.env.err << "the log can be read again\n";
+      down = false;
+    } catch (const ClientError& e) {
+      if (e.status() != ExitStatus::kUnreachable) throw;
+      if (!down) context.env.err << DescribeNested(e) << "; waiting for it\n";
+      down = true;
+      continue;
+    }
+    next = PrintAudit(context, next, false);
+  }
+}
+
+constexpr std::array kCommands = {
+    Command{"status", "", "show the state of each instance", DefineInstance, ShowStatus},
+    Command{"instances", "", "show which instances each instance knows", DefineInstance,
+            ShowInstances},
+    Command{"targets list", "", "show targets with their state and load", DefineInstance,
+            ShowTargets},
+    Command{"shards", "", "show the assignment of shards", DefineInstance, ShowShards},
+    Command{"owners", "KEY", "show the owner of a key", DefineOwners, ShowOwners},
+    Command{"limits", "ACCOUNT", "show the limits of an account", DefineInstance, ShowLimits},
+    Command{"orders", "KEY", "show the order with an idempotency key", DefineOrders, ShowOrders},
+    Command{"audit", "", "list who changed what, when and why", DefineAudit, ShowAudit},
+};
+
+}  // namespace
+
+std::span<const Command> ReadCommands() { return kCommands; }
+
+}  // namespace dogwoodport::detail
--- /dev/null
+++ b/packages/client/src/publisher.cc
@@ -0,0 +1,70 @@
+#include "dogwoodport/client/publisher.h"
+
+#include "dogwoodport/client/client_error.h"
+
+namespace dogwoodport {
+namespace {
+
+constexpr Duration kRetryInterval{500'000};
+/// Reads after one append, so that a log that is slow to show a record does not cause a repeat.
+constexpr int kReadsPerAppend = 4;
+constexpr Duration kReadInterval{100'000};
+
+constexpr const char* kNothingChanged =
+    "the log service is unreachable; nothing was changed, and repeating the command is safe";
+constexpr const char* kOutcomeUnknown =
+    "the log service did not confirm the change, which may still take effect; repeating the "
+    "command is safe, and 'dogwoodctl audit' shows the outcome when the log service is back";
+
+}  // namespace
+
+Publication Publisher::Publish(const Record& record) {
+  const std::string text = EncodeRecord(record);
+  const TimePoint end = timer_.Now() + wait_;
+  bool maybe_sent = false;
+  while (true) {
+    const Sent sent = TryAppend(text);
+    maybe_sent = maybe_sent || sent != Sent::kNo;
+    for (int n = 0; maybe_sent && n < kReadsPerAppend; ++n) {
+      if (const AuditEntry* entry = ReadBack(record)) {
+        return {entry->offset, entry->outcome, entry->detail};
+      }
+      if (!timer_.Sleep(kReadInterval)) break;
+    }
+    if (timer_.Now() >= end || !timer_.Sleep(kRetryInterval)) {
+      throw ClientError(ExitStatus::kUnreachable, maybe_sent ? kOutcomeUnknown : kNothingChanged);
+    }
+  }
+}
+
+Publisher::Sent Publisher::TryAppend(const std::string& text) {
+  try {
+    log_.Append({text});
+    return Sent::kYes;
+  } catch (const LogServiceError& e) {
+    progress_ << "append failed, will be repeated: " << e.what() << "\n";
+    return e.failure() == LogFailure::kUnreachable ? Sent::kNo : Sent::kMaybe;
+  }
+}
+
+const AuditEntry* Publisher::ReadBack(const Record& record) {
+  try {
+    view_.CatchUp();
+  } catch (const ClientError& e) {
+    if (e.status() != ExitStatus::kUnreachable) throw;
+  }
+  return FindOwn(record);
+}
+
+const AuditEntry* Publisher::FindOwn(const Record& record) const {
+  // The first entry has the outcome; later ones are repeats of a record whose answer was lost.
+  for (const AuditEntry& entry : view_.state().audit()) {
+    if (entry.writer == record.writer && entry.incarnation == record.incarnation &&
+        entry.sequence == record.sequence) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace dogwoodport
--- /dev/null
+++ b/tests/client/client_world.h
@@ -0,0 +1,135 @@
+#pragma once
+
+/// @file
+/// The world of one operator in tests: an in-memory log, fake operators' addresses, virtual time.
+
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "dogwoodport/client/cli.h"
+#include "dogwoodport/client/client_error.h"
+#include "dogwoodport/core/control_state.h"
+#include "dogwoodport/platform/memory_log_service.h"
+
+namespace dogwoodport {
+
+/// Passes calls on and lets a test act before them.
+class HookedLog : public LogService {
+ public:
+  explicit HookedLog(MemoryLogService& log) : log_(log) {}
+
+  std::uint64_t Append(const std::vector<std::string>& records) override {
+    appended.insert(appended.end(), records.begin(), records.end());
+    if (before_append) std::exchange(before_append, nullptr)();
+    try {
+      const std::uint64_t offset = log_.Append(records);
+      if (after_append) std::exchange(after_append, nullptr)();
+      return offset;
+    } catch (const LogServiceError&) {
+      if (after_append) std::exchange(after_append, nullptr)();
+      throw;
+    }
+  }
+  LogPage Read(std::uint64_t from, std::uint32_t max) override { return log_.Read(from, max); }
+  std::uint64_t FirstRetained() override { return log_.FirstRetained(); }
+  std::vector<ListedInstance> ListInstances() override { return log_.ListInstances(); }
+
+  std::function<void()> before_append;
+  std::function<void()> after_append;
+  std::vector<std::string> appended;
+
+ private:
+  MemoryLogService& log_;
+};
+
+/// Operators' addresses with the pages that the test sets.
+class FakeInstances : public InstanceClient {
+ public:
+  nlohmann::ordered_json Get(const InstanceAddress& instance, const std::string& path) override {
+    asked.push_back(instance.name + " " + path);
+    const auto it = pages.find(instance.name + " " + path);
+    if (it != pages.end()) return it->second;
+    if (refuses) throw ClientError(ExitStatus::kFailed, instance.name + ": status 401");
+    throw ClientError(ExitStatus::kUnreachable, instance.name + ": connection refused");
+  }
+
+  std::map<std::string, nlohmann::ordered_json> pages;
+  std::vector<std::string> asked;
+  bool refuses = false;
+};
+
+class VirtualTimer : public Timer {
+ public:
+  TimePoint Now() override { return now; }
+  std::int64_t UnixMs() override {
+    return 1'796'000'000'000 + now.time_since_epoch().count() / 1000;
+  }
+  bool Sleep(Duration duration) override {
+    now += duration;
+    if (on_sleep) on_sleep();
+    return sleeps-- > 0;
+  }
+
+  TimePoint now{};
+  /// Sleeps until the command is interrupted.
+  int sleeps = 10'000;
+  std::function<void()> on_sleep;
+};
+
+/// What a command did.
+struct CliResult {
+  int status = 0;
+  std::string out;
+  std::string err;
+
+  nlohmann::json Json() const { return nlohmann::json::parse(out); }
+};
+
+class ClientWorld {
+ public:
+  static constexpr const char* kOldSecret = "k1.0123456789abcdef0123";
+  static constexpr const char* kNewSecret = "k2.fedcba9876543210fedc";
+  static constexpr const char* kOperatorSecret = "ops.4d2a9c7788";
+
+  /// A published document with two data centres, two accounts and two targets.
+  static nlohmann::json Document();
+
+  ClientWorld();
+  ~ClientWorld();
+  ClientWorld(const ClientWorld&) = delete;
+  ClientWorld& operator=(const ClientWorld&) = delete;
+
+  /// Runs a command with the world's settings.
+  CliResult Run(std::vector<std::string> args, const std::string& in = "");
+  /// As `Run`, with JSON output.
+  CliResult RunJson(std::vector<std::string> args, const std::string& in = "");
+
+  /// Writes a file into the world's directory and returns its path.
+  std::string Write(const std::string& name, const std::string& text) const;
+
+  /// Appends a record of another operator.
+  void Publish(RecordBody body, const std::string& actor = "binod");
+
+  /// Folds the log.
+  ControlState Fold();
+
+  /// Lets all instances confirm every offset.
+  void ConfirmAll();
+
+  MemoryLogService memory;
+  std::shared_ptr<HookedLog> log;
+  std::shared_ptr<FakeInstances> instances = std::make_shared<FakeInstances>();
+  VirtualTimer timer;
+
+ private:
+  std::string directory_;
+  std::string settings_;
+  std::uint64_t next_random_ = 1000;
+  std::uint64_t next_writer_ = 1;
+};
+
+}  // namespace dogwoodport
--- /dev/null
+++ b/tests/client/unit-cli.cpp
@@ -0,0 +1,456 @@
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+
+#include "client/client_world.h"
+
+namespace dogwoodport {
+
+using nlohmann::json;
+
+json ClientWorld::Document() {
+  const json secret = {{"key_id", "k1"},
+                       {"salt", "00112233445566778899aabbccddeeff"},
+                       {"hash", std::string(64, 'a')}};
+  return {{"data_centres", {{{"name", "howrah"}}, {{"name", "barasat"}}}},
+          {"services", {{{"name", "khata"}, {"keyed", true}, {"shards", 64}}}},
+          {"accounts",
+           {{{"name", "clerks"}, {"rate", 100}, {"secrets", {secret}}}, {{"name", "hospitals"}}}},
+          {"targets",
+           {{{"name", "khata-1"},
+             {"service", "khata"},
+             {"data_centre", "howrah"},
+             {"host", "127.0.0.1"},
+             {"port", 7001}},
+            {{"name", "khata-2"},
+             {"service", "khata"},
+             {"data_centre", "barasat"},
+             {"host", "127.0.0.1"},
+             {"port", 7002}}}}};
+}
+
+ClientWorld::ClientWorld() : log(std::make_shared<HookedLog>(memory)) {
+  std::string pattern = (std::filesystem::temp_directory_path() / "dogwoodctl-XXXXXX").string();
+  directory_ = mkdtemp(pattern.data());
+  settings_ =
+      Write("settings.json", json{{"actor", "asha"},
+                                  {"log_service", {{"host", "127.0.0.1"}, {"port", 1}}},
+                                  {"instances",
+                                   {{{"name", "howrah-1"}, {"host", "127.0.0.1"}, {"port", 2}},
+                                    {{"name", "barasat-1"}, {"host", "127.0.0.1"}, {"port", 3}}}},
+                                  {"operator_secret", kOperatorSecret}}
+                                 .dump());
+  Publish(ConfigChange{0, Document()});
+  ConfirmAll();
+}
+
+ClientWorld::~ClientWorld() { std::filesystem::remove_all(directory_); }
+
+CliResult ClientWorld::Run(std::vector<std::string> args, const std::string& in) {
+  args.insert(args.end(), {"--settings", settings_});
+  std::istringstream input(in);
+  std::ostringstream out;
+  std::ostringstream err;
+  const CliEnvironment environment{[this](const ClientSettings&) { return log; },
+                                   [this](const ClientSettings&) { return instances; },
+                                   timer,
+                                   [this] { return next_random_++; },
+                                   input,
+                                   out,
+                                   err};
+  CliResult result;
+  result.status = RunCli(args, environment);
+  result.out = out.str();
+  result.err = err.str();
+  return result;
+}
+
+CliResult ClientWorld::RunJson(std::vector<std::string> args, const std::string& in) {
+  args.insert(args.end(), {"--output", "json"});
+  return Run(std::move(args), in);
+}
+
+std::string ClientWorld::Write(const std::string& name, const std::string& text) const {
+  const std::string path = directory_ + "/" + name;
+  std::ofstream(path) << text;
+  return path;
+}
+
+void ClientWorld::Publish(RecordBody body, const std::string& actor) {
+  Record record{InstanceId{next_writer_++}, Incarnation{1}, 1, actor, "reason of " + actor, 1};
+  record.body = std::move(body);
+  memory.Append({EncodeRecord(record)});
+}
+
+ControlState ClientWorld::Fold() {
+  ControlState state;
+  for (const LogRecord& r : memory.Read(1, 1000).records) state.ApplyText(r.offset, r.data);
+  return state;
+}
+
+void ClientWorld::ConfirmAll() {
+  for (const char* name : {"howrah-1", "barasat-1"}) {
+    instances->pages[std::string(name) + " /-/status"] = {{"applied_offset", 1'000'000}};
+  }
+}
+
+namespace {
+
+using Args = std::vector<std::string>;
+
+std::size_t Count(const std::string& text, const std::string& part) {
+  std::size_t n = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) ++n;
+  return n;
+}
+
+// Guards against an exit status that a script would take for another outcome.
+TEST_CASE("each exit status") {
+  struct Row {
+    const char* name;
+    Args args;
+    int status;
+    std::string in = "";
+  };
+  const std::vector<Row> rows = {
+      {"list of commands", {"--help"}, 0},
+      {"help of a group", {"config", "--help"}, 0},
+      {"help of a command", {"config", "apply", "--help"}, 0},
+      {"read", {"config", "show"}, 0},
+      {"change", {"targets", "drain", "khata-1", "--reason", "fan"}, 0},
+      {"unchanged", {"targets", "return", "khata-1", "--reason", "fan"}, 0},
+      {"unknown target", {"targets", "drain", "khata-9", "--reason", "fan"}, 1},
+      {"unknown account", {"exceptions", "remove", "nobody", "--reason", "x"}, 1},
+      {"mistyped key id", {"accounts", "withdraw", "clerks", "k7", "--reason", "leak"}, 1},
+      {"unknown fingerprint", {"quarantine", "release", "12ab", "--reason", "fixed"}, 1},
+      {"no command", {}, 2},
+      {"unknown command", {"frobnicate"}, 2},
+      {"group alone", {"config"}, 2},
+      {"unknown subcommand", {"config", "destroy"}, 2},
+      {"unknown option", {"config", "show", "--colour"}, 2},
+      {"malformed option", {"audit", "--from", "x"}, 2},
+      {"unknown output", {"config", "show", "--output", "xml"}, 2},
+      {"no argument", {"targets", "drain", "--reason", "fan"}, 2},
+      {"too many arguments", {"config", "show", "now"}, 2},
+      {"no reason", {"targets", "drain", "khata-1"}, 2},
+      {"blank reason", {"targets", "drain", "khata-1", "--reason", " "}, 2},
+      {"no such file", {"config", "check", "/nonexistent"}, 2},
+      {"malformed fingerprint", {"quarantine", "release", "xyz", "--reason", "fixed"}, 2},
+      {"malformed secret", {"accounts", "rotate", "clerks", "--reason", "x"}, 2, "short\n"},
+      {"malformed end",
+       {"exceptions", "add", "clerks", "--rate", "1", "--ends", "soon", "--reason", "x"},
+       2},
+      {"unknown instance", {"status", "--instance", "nowhere"}, 2},
+      {"instances down", {"shards"}, 3},
+      {"owner without service", {"owners", "key-1"}, 2},
+  };
+  for (const Row& row : rows) {
+    DYNAMIC_SECTION(row.name) {
+      ClientWorld world;
+      const CliResult result = world.Run(row.args, row.in);
+      CAPTURE(result.out, result.err);
+      CHECK(result.status == row.status);
+      CHECK((row.status == 0) == (result.err.find("dogwoodctl: ") == std::string::npos));
+    }
+  }
+}
+
+// Guards against subcommands whose help is missing or needs settings.
+TEST_CASE("each subcommand has help") {
+  const Args names = {"config show",
+                      "config check",
+                      "config diff",
+                      "config apply",
+                      "config history",
+                      "exceptions list",
+                      "exceptions add",
+                      "exceptions remove",
+                      "accounts list",
+                      "accounts rotate",
+                      "accounts withdraw",
+                      "datacentre withdraw",
+                      "datacentre return",
+                      "targets list",
+                      "datacentre declare-lost",
+                      "targets drain",
+                      "owners",
+                      "shards",
+                      "instances",
+                      "limits",
+                      "orders",
+                      "quarantine list",
+                      "quarantine release",
+                      "status",
+                      "audit"};
+  for (const std::string& name : names) {
+    DYNAMIC_SECTION(name) {
+      ClientWorld world;
+      std::istringstream in(name);
+      Args args{std::istream_iterator<std::string>(in), {}};
+      args.emplace_back("--help");
+      const CliResult result = world.Run(args);
+      CHECK(result.status == 0);
+      CHECK(result.out.find("dogwoodctl " + name) != std::string::npos);
+    }
+  }
+}
+
+// Guards against a change whose record the fold does not take as meant.
+TEST_CASE("changes take effect and a repeat changes nothing") {
+  struct Row {
+    Args args;
+    std::string in;
+    std::function<bool(const ControlState&)> holds;
+  };
+  const auto account = [](const ControlState& s, std::size_t n) { return s.config()->accounts[n]; };
+  const std::vector<Row> rows = {
+      {{"targets", "drain", "khata-1", "--reason", "fan"},
+       "",
+       [](const ControlState& s) {
+         return s.target(TargetId::FromName("khata-1")).state == TargetState::kDraining;
+       }},
+      {{"datacentre", "withdraw", "howrah", "--reason", "power"},
+       "",
+       [](const ControlState& s) {
+         return s.data_centre(DataCentreId::FromName("howrah")).state ==
+                DataCentreState::kWithdrawn;
+       }},
+      {{"datacentre", "declare-lost", "howrah", "--reason", "fire"},
+       "",
+       [](const ControlState& s) {
+         return s.data_centre(DataCentreId::FromName("howrah")).state == DataCentreState::kLost;
+       }},
+      {{"exceptions", "add", "hospitals", "--rate", "900", "--ends", "2027-01-01T00:00:00Z",
+        "--reason", "season"},
+       "",
+       [&](const ControlState& s) { return account(s, 1).rate == 900; }},
+      {{"accounts", "rotate", "clerks", "--reason", "yearly"},
+       std::string(ClientWorld::kNewSecret) + "\n",
+       [&](const ControlState& s) { return account(s, 0).secrets.size() == 2; }},
+      {{"accounts", "withdraw", "clerks", "k1", "--reason", "leak"},
+       "",
+       [&](const ControlState& s) { return account(s, 0).secrets.empty(); }},
+  };
+  for (const Row& row : rows) {
+    DYNAMIC_SECTION(row.args[0] + " " + row.args[1]) {
+      ClientWorld world;
+      const CliResult first = world.RunJson(row.args, row.in);
+      CAPTURE(first.err);
+      REQUIRE(first.status == 0);
+      CHECK(first.Json()["result"] == "accepted");
+      CHECK(first.Json()["in_force_on"] == 2);
+      CHECK(row.holds(world.Fold()));
+      const std::uint64_t next = world.Fold().next_offset();
+      const CliResult second = world.RunJson(row.args, row.in);
+      CHECK(second.status == 0);
+      CHECK(second.Json()["result"] == "unchanged");
+      CHECK(world.Fold().next_offset() == next);
+    }
+  }
+}
+
+// Guards against a document that can be shown, but not applied again.
+TEST_CASE("a shown document can be edited and applied") {
+  ClientWorld world;
+  json document = json::parse(world.Run({"config", "show"}).out);
+  CHECK(document == ClientWorld::Document());
+  document["defaults"]["rate"] = 7;
+  const std::string file = world.Write("new.json", document.dump());
+  const CliResult diff = world.RunJson({"config", "diff", file});
+  CHECK(diff.Json()[0]["path"] == "/defaults");
+  const Args apply = {"config", "apply", file, "--base", "1", "--reason", "lower default"};
+  CHECK(world.Run(apply).status == 0);
+  CHECK(world.Fold().config()->version == 2);
+  // The repeat of a command whose outcome the operator missed is no conflict.
+  CHECK(world.RunJson(apply).Json()["result"] == "unchanged");
+  CHECK(world.RunJson({"config", "history"}).Json().size() == 2);
+}
+
+// Guards against publishing an invalid document, and against showing a secret that it contains.
+TEST_CASE("an invalid document is refused with all faults and without secrets") {
+  ClientWorld world;
+  json document = ClientWorld::Document();
+  document["targets"][0]["port"] = 0;
+  document["accounts"][0]["secrets"][0]["hash"] = ClientWorld::kNewSecret;
+  const std::string file = world.Write("bad.json", document.dump());
+  for (const Args& args : {Args{"config", "check", file},
+                           Args{"config", "apply", file, "--base", "1", "--reason", "x"}}) {
+    const CliResult result = world.Run(args);
+    CHECK(result.status == 1);
+    CHECK(result.out.find("/targets/0/port") != std::string::npos);
+    CHECK(result.out.find("/accounts/0/secrets/0/hash") != std::string::npos);
+    CHECK((result.out + result.err).find(ClientWorld::kNewSecret) == std::string::npos);
+  }
+  CHECK(world.log->appended.empty());
+}
+
+// Guards against an operator overwriting what another one changed at the same moment.
+TEST_CASE("of two racing operators the second is told the difference") {
+  json theirs = ClientWorld::Document();
+  theirs["accounts"][1]["rate"] = 55;
+  json ours = ClientWorld::Document();
+  ours["defaults"]["burst"] = 9;
+
+  SECTION("between reading and appending") {
+    ClientWorld world;
+    world.log->before_append = [&] { world.Publish(ConfigChange{1, theirs}); };
+    const CliResult result = world.Run({"config", "apply", world.Write("new.json", ours.dump()),
+                                        "--base", "1", "--reason", "burst"});
+    CHECK(result.status == 4);
+    CHECK(result.out.find("reason of binod") != std::string::npos);
+    CHECK(result.out.find("/accounts/1/rate") != std::string::npos);
+    CHECK(world.Fold().config()->accounts[1].rate == 55);
+  }
+  SECTION("before reading") {
+    ClientWorld world;
+    world.Publish(ConfigChange{1, theirs});
+    const CliResult result = world.Run({"config", "apply", world.Write("new.json", ours.dump()),
+                                        "--base", "1", "--reason", "burst"});
+    CHECK(result.status == 4);
+    CHECK(result.out.find("/accounts/1/rate") != std::string::npos);
+    CHECK(world.log->appended.empty());
+  }
+  SECTION("on one target") {
+    ClientWorld world;
+    world.log->before_append = [&] {
+      world.Publish(TargetChange{"khata-1", 0, TargetState::kDraining});
+    };
+    const CliResult result = world.Run({"targets", "drain", "khata-1", "--reason", "fan"});
+    CHECK(result.status == 4);
+    CHECK(result.out.find("target_change khata-1") != std::string::npos);
+  }
+}
+
+// Guards against a change that is applied twice, or reported as failed, when answers are lost.
+TEST_CASE("lost append answers") {
+  const std::uint32_t lost = GENERATE(1U, 2U, 5U);
+  ClientWorld world;
+  world.memory.SetFaults({false, Duration(0), lost});
+  const CliResult result = world.Run({"targets", "drain", "khata-1", "--reason", "fan"});
+  CAPTURE(result.err);
+  CHECK(result.status == 0);
+  CHECK(world.Fold().target(TargetId::FromName("khata-1")).version == 1);
+}
+
+// Guards against half-done changes and wrong claims while the log service is down.
+TEST_CASE("log outage") {
+  ClientWorld world;
+  const Args args = {"targets", "drain", "khata-1", "--reason", "fan"};
+  SECTION("from the start") {
+    world.memory.SetFaults({true});
+    CHECK(world.Run(args).status == 3);
+    CHECK(world.log->appended.empty());
+  }
+  SECTION("from the append on: repeats are the same record") {
+    world.log->before_append = [&] { world.memory.SetFaults({true}); };
+    const CliResult result = world.Run(args);
+    CHECK(result.status == 3);
+    CHECK(result.err.find("nothing was changed") != std::string::npos);
+    REQUIRE(world.log->appended.size() > 1);
+    for (const std::string& record : world.log->appended) CHECK(record == world.log->appended[0]);
+    world.memory.SetFaults({});
+    CHECK(world.Fold().target(TargetId::FromName("khata-1")).version == 0);
+    CHECK(world.Run(args).status == 0);
+  }
+  SECTION("after an append whose answer was lost") {
+    world.memory.SetFaults({false, Duration(0), 1});
+    world.log->after_append = [&] { world.memory.SetFaults({true}); };
+    const CliResult result = world.Run(args);
+    CHECK(result.status == 3);
+    CHECK(result.err.find("may still take effect") != std::string::npos);
+    world.memory.SetFaults({});
+    CHECK(world.RunJson(args).Json()["result"] == "unchanged");
+    CHECK(world.Fold().target(TargetId::FromName("khata-1")).version == 1);
+  }
+  SECTION("that ends within the wait") {
+    world.log->before_append = [&] { world.memory.SetFaults({true}); };
+    world.timer.on_sleep = [&] {
+      if (world.timer.now > TimePoint(Duration(3'000'000))) world.memory.SetFaults({});
+    };
+    CHECK(world.Run(args).status == 0);
+    CHECK(world.Fold().target(TargetId::FromName("khata-1")).version == 1);
+  }
+}
+
+// Guards against a claim that a change is in force where it is not.
+TEST_CASE("instances that do not confirm are named") {
+  ClientWorld world;
+  world.instances->pages["barasat-1 /-/status"] = {{"applied_offset", 1}};
+  const CliResult result = world.RunJson({"targets", "drain", "khata-1", "--reason", "fan"});
+  CHECK(result.status == 0);
+  CHECK(result.Json()["in_force_on"] == 1);
+  CHECK(result.Json()["not_confirmed"] == json{"barasat-1"});
+  CHECK(result.err.find("not confirmed by barasat-1") != std::string::npos);
+}
+
+// Guards against secrets in the output, the log or the error text.
+TEST_CASE("secrets are never shown") {
+  ClientWorld world;
+  const std::string secret = std::string(ClientWorld::kNewSecret) + "\n";
+  const Args rotate = {"accounts", "rotate", "clerks", "--reason", "yearly"};
+  std::string shown;
+  for (const CliResult& r :
+       {world.Run(rotate, secret), world.Run(rotate, secret), world.Run({"config", "show"}),
+        world.Run({"accounts", "list"}), world.Run({"audit"})}) {
+    CHECK(r.status == 0);
+    shown += r.out + r.err;
+  }
+  for (const std::string& record : world.log->appended) shown += record;
+  CHECK(shown.find(std::string(ClientWorld::kNewSecret).substr(3)) == std::string::npos);
+  CHECK(shown.find(ClientWorld::kOperatorSecret) == std::string::npos);
+  CHECK(shown.find("k2") != std::string::npos);
+}
+
+// Guards against a table that drops an instance's answer or error.
+TEST_CASE("pages of the instances") {
+  ClientWorld world;
+  const std::string path = "/-/owners?service=khata&key=a%2Fb%20c";
+  world.instances->pages["howrah-1 " + path] = {{"owner", "khata-1"}, {"note", "\x1b[2J"}};
+  const CliResult table = world.Run({"owners", "a/b c", "--service", "khata"});
+  CHECK(table.status == 0);
+  CHECK(table.out.find("khata-1") != std::string::npos);
+  // Text of others must not act on the operator's terminal.
+  CHECK(table.out.find('\x1b') == std::string::npos);
+  CHECK(table.err.find("barasat-1: connection refused") != std::string::npos);
+  const json pages = world.RunJson({"owners", "a/b c", "--service", "khata"}).Json();
+  CHECK(pages[0]["page"]["owner"] == "khata-1");
+  CHECK(pages[1]["error"] == "barasat-1: connection refused");
+  world.instances->refuses = true;
+  CHECK(world.Run({"instances"}).status == 1);
+}
+
+// Guards against an audit that misses entries or ends when the log is down for a while.
+TEST_CASE("audit follows the log over an outage") {
+  ClientWorld world;
+  world.timer.sleeps = 6;
+  int polls = 0;
+  world.timer.on_sleep = [&] {
+    ++polls;
+    world.memory.SetFaults({polls == 2 || polls == 3});
+    if (polls == 4) world.Publish(TargetChange{"khata-2", 0, TargetState::kDraining});
+  };
+  const CliResult result = world.Run({"audit", "--follow"});
+  CHECK(result.status == 0);
+  CHECK(Count(result.out, "config_change") == 1);
+  CHECK(Count(result.out, "target_change khata-2") == 1);
+  CHECK(Count(result.err, "waiting for it") == 1);
+}
+
+// Guards against a command line that goes on with settings that are not understood.
+TEST_CASE("settings faults are listed without the secret") {
+  try {
+    ReadClientSettings("ctl.json", R"({"actor":"","log_service":{"host":"h","port":0},"extra":1,
+                                       "operator_secret":["ops.4d2a9c7788"]})");
+    FAIL("accepted");
+  } catch (const ClientError& e) {
+    const std::string text = e.what();
+    CHECK(e.status() == ExitStatus::kUsage);
+    for (const char* part : {"/actor", "/log_service/port: is 0", "/extra", "/operator_secret"}) {
+      CHECK(text.find(part) != std::string::npos);
+    }
+    CHECK(text.find("4d2a9c7788") == std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace dogwoodport
