--- a/packages/core/src/log_follower.cc
+++ b/packages/core/src/log_follower.cc
@@ -141,34 +141,37 @@
 }
 
 bool LogFollower::ApplyOne(const LogRecord& record) {
+  std::optional<Record> decoded;
   try {
-    const ApplyResult result = state_.ApplyText(record.offset, record.data);
-    loaded_ = true;
-    Keep(record);
-    NoteApplied(record, result);
-    return true;
+    decoded = DecodeRecord(record.data);
   } catch (const UnknownRecordError& e) {
     stopped_at_ = record.offset;
     reader_ = false;
     NoteFault("stopped at offset " + std::to_string(record.offset) + ": " + e.what());
     return false;
+  } catch (const RecordError&) {
+    // The fold skips malformed text with an audit entry.
   }
+  const ApplyResult result = decoded ? state_.Apply(record.offset, *decoded)
+                                     : state_.ApplyText(record.offset, record.data);
+  loaded_ = true;
+  Keep(record);
+  if (decoded) NoteApplied(record.offset, std::move(*decoded), result);
+  return true;
 }
 
-/// Resolves own writes and notes snapshots among the records that were just folded.
-void LogFollower::NoteApplied(const LogRecord& record, const ApplyResult& result) {
-  const bool has_chunk = record.data.find("\"snapshot_chunk\"") != std::string::npos;
-  if (pending_.empty() && !has_chunk) return;
-  try {
-    const Record decoded = DecodeRecord(record.data);
-    if (IsChunk(decoded.body)) chunk_seen_ = now_;
-    if (decoded.writer != self_.id || decoded.incarnation != self_.incarnation) return;
-    const auto it = pending_.find(decoded.sequence);
-    if (it == pending_.end()) return;
-    if (!IsChunk(decoded.body)) outcomes_.push_back({decoded.sequence, record.offset, result});
+/// Resolves own writes and notes the record that was just folded for `TakeChanges`.
+void LogFollower::NoteApplied(std::uint64_t offset, Record record, const ApplyResult& result) {
+  const bool own = record.writer == self_.id && record.incarnation == self_.incarnation;
+  const auto it = own ? pending_.find(record.sequence) : pending_.end();
+  if (it != pending_.end()) {
+    if (!IsChunk(record.body)) outcomes_.push_back({record.sequence, offset, result});
     pending_.erase(it);
-  } catch (const RecordError&) {
-    // Malformed text is nobody's pending write: those were encoded here.
+  }
+  if (IsChunk(record.body)) {
+    chunk_seen_ = now_;
+  } else if (result.outcome == ApplyOutcome::kApplied) {
+    changes_.applied.emplace_back(offset, std::move(record));
   }
 }
 
@@ -185,6 +188,7 @@
 void LogFollower::Adopt(ControlState state) {
   if (loaded_ && state.next_offset() <= state_.next_offset()) return;
   state_ = std::move(state);
+  changes_ = StateChanges{true, {}};
   loaded_ = true;
   stopped_at_.reset();
   fault_.clear();
--- a/standin/src/state_cluster.cc
+++ b/standin/src/state_cluster.cc
@@ -101,6 +101,7 @@
 void StateCluster::AfterEvent(std::size_t index) {
   Node& node = nodes_[index];
   for (const LogRequest& request : node.follower->TakeRequests()) Execute(index, request);
+  node.follower->TakeChanges();
   for (WriteOutcome& outcome : node.follower->TakeOutcomes()) {
     node.outcomes.push_back(std::move(outcome));
   }
