--- a/packages/core/include/dogwoodport/core/slot_ledger.h
+++ b/packages/core/include/dogwoodport/core/slot_ledger.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -29,7 +30,8 @@
 struct SlotLedgerSettings {
   InstanceId self;
   Incarnation incarnation;
-  /// Longest time that a unit is held by one attempt, and duration of a loan.
+  /// Longest time that a unit is held by one attempt. A loan lasts half as long again, and takes
+  /// new attempts only while their whole time is left.
   Duration max_hold{5'000'000};
   /// Time after which an instance that missed a delegation has lost its permit (design, section 4).
   Duration permit_duration{1'500'000};
@@ -89,12 +91,20 @@
   /// Returns this instance's share of the first `limit` units. Complexity: constant.
   std::uint32_t Share(TimePoint now, std::size_t row, std::uint32_t limit) const noexcept;
 
-  /// Asks the next member for a unit, at most once per 2 ms and row.
-  void Borrow(TimePoint now, std::size_t row, Outbox& out);
+  /// Asks the next member for a unit of `row`, or of any target of its service. At most once per
+  /// 2 ms and row.
+  void Borrow(TimePoint now, std::size_t row, bool any_of_service, Outbox& out);
 
-  /// Lends a unit of the first `limit` when one is free; silent otherwise.
-  void OnRequest(TimePoint now, InstanceId from, const SlotRequest& request, std::uint32_t limit,
-                 Outbox& out);
+  /// A row from which a request may be met, and how many of its units are in use at all.
+  struct Candidate {
+    std::size_t row = 0;
+    std::uint32_t limit = 0;
+  };
+
+  /// Lends a unit of the first candidate that has one free. Otherwise passes the request on: to the
+  /// lender of an idle loan, which is returned, or to the next member, up to the number of members.
+  void OnRequest(TimePoint now, InstanceId from, const SlotRequest& request,
+                 std::span<const Candidate> candidates, Outbox& out);
   void OnLoan(TimePoint now, InstanceId from, const SlotLoan& loan, Outbox& out);
   void OnReturn(InstanceId from, const SlotReturn& message);
 
@@ -134,10 +144,13 @@
     std::uint32_t own_in_use = 0;
     std::vector<LoanOut> out;
     std::vector<LoanIn> in;
-    /// Request that has not been answered yet.
+    TimePoint next_borrow;
+    std::size_t next_peer = 0;
+  };
+  /// A request of this instance that may still be answered.
+  struct Pending {
     std::uint64_t sequence = 0;
     TimePoint requested;
-    std::size_t next_peer = 0;
   };
   /// Membership under one delegation, which bounds the share until `until`.
   struct Division {
@@ -152,6 +165,15 @@
   std::uint32_t ShareUnder(const Division& division, std::size_t row,
                            std::uint32_t limit) const noexcept;
   std::uint32_t OwnFree(TimePoint now, const Row& row, std::uint32_t limit) const noexcept;
+  bool ReturnIdle(TimePoint now, InstanceId borrower, Row& row, const SlotRequest& request,
+                  Outbox& out);
+  void PassOn(InstanceId borrower, const SlotRequest& request, Outbox& out) const;
+  bool Lend(TimePoint now, InstanceId borrower, std::size_t row, const SlotRequest& request,
+            std::uint32_t limit, Outbox& out);
+  Duration LoanDuration() const noexcept { return settings_.max_hold + settings_.max_hold / 2; }
+  bool Startable(TimePoint now, const LoanIn& loan) const noexcept {
+    return !loan.busy && now + settings_.max_hold <= loan.expires;
+  }
   void SendReturn(const Row& row, InstanceId lender, Incarnation incarnation, std::uint64_t number,
                   Outbox& out) const;
   void TickRow(TimePoint now, Row& row, Outbox& out);
@@ -164,6 +186,8 @@
   std::uint64_t delegation_ = 0;
   TimePoint permit_until_ = TimePoint::max();
   std::uint64_t next_sequence_ = 1;
+  /// The latest requests, by sequence modulo the size.
+  std::array<Pending, 256> pending_{};
   std::uint64_t next_loan_ = 1;
   /// Rows with a loan in either direction; the others need no work each tick.
   std::vector<std::size_t> active_;
--- a/packages/core/src/slot_ledger.cc
+++ b/packages/core/src/slot_ledger.cc
@@ -7,6 +7,10 @@
 
 // Borrowing again sooner would ask twice within one round trip inside a data centre.
 constexpr Duration kBorrowInterval{2'000};
+// A loan idle for less may be meant for a request that is about to ask for it.
+constexpr Duration kMinIdle{1'000};
+// Bounds the messages of one request in a large group.
+constexpr std::uint8_t kMaxPassedOn = 6;
 constexpr std::size_t kNoRow = static_cast<std::size_t>(-1);
 
 Duration WithDrift(Duration d) {
@@ -45,7 +49,7 @@
                               DelegationHistory history) {
   if (delegation.offset < delegation_) return;
   delegation_ = delegation.offset;
-  const TimePoint settled = now + WithDrift(settings_.permit_duration + settings_.max_hold);
+  const TimePoint settled = now + WithDrift(settings_.permit_duration + LoanDuration());
   if (divisions_.empty() && history == DelegationHistory::kReplacesEarlier) {
     // A new instance uses nothing of its own while members of the earlier delegation may.
     Division nothing{.until = settled};
@@ -107,7 +111,7 @@
 
 std::uint32_t SlotLedger::Free(TimePoint now, std::size_t row, std::uint32_t limit) const noexcept {
   std::uint32_t n = OwnFree(now, rows_[row], limit);
-  for (const LoanIn& loan : rows_[row].in) n += !loan.busy && now < loan.expires ? 1 : 0;
+  for (const LoanIn& loan : rows_[row].in) n += Startable(now, loan) ? 1 : 0;
   return n;
 }
 
@@ -128,9 +132,9 @@
     return SlotHold{.until = now + settings_.max_hold};
   }
   for (LoanIn& loan : r.in) {
-    if (loan.busy || now >= loan.expires) continue;
+    if (!Startable(now, loan)) continue;
     loan.busy = true;
-    return SlotHold{.loan = loan.number, .lender = loan.lender, .until = loan.expires};
+    return SlotHold{.loan = loan.number, .lender = loan.lender, .until = now + settings_.max_hold};
   }
   return std::nullopt;
 }
@@ -156,48 +160,101 @@
   }
 }
 
-void SlotLedger::Borrow(TimePoint now, std::size_t row, Outbox& out) {
+void SlotLedger::Borrow(TimePoint now, std::size_t row, bool any_of_service, Outbox& out) {
   Row& r = rows_[row];
-  if (divisions_.empty() || (r.sequence != 0 && now < r.requested + kBorrowInterval)) return;
+  if (divisions_.empty() || now < r.next_borrow) return;
   const std::vector<InstanceId>& members = divisions_.back().members;
   if (members.empty()) return;
   for (std::size_t i = 0; i < members.size(); ++i) {
     const InstanceId peer = members[r.next_peer++ % members.size()];
     if (peer == settings_.self) continue;
-    r.sequence = next_sequence_++;
-    r.requested = now;
+    const std::uint64_t sequence = next_sequence_++;
+    pending_[sequence % pending_.size()] = Pending{sequence, now};
+    r.next_borrow = now + kBorrowInterval;
     out.Send(peer, SlotRequest{.target = r.target,
                                .resource = static_cast<std::uint8_t>(r.resource),
                                .borrower = settings_.incarnation,
-                               .sequence = r.sequence});
+                               .sequence = sequence,
+                               .any_of_service = any_of_service});
     return;
   }
 }
 
-void SlotLedger::OnRequest(TimePoint now, InstanceId from, const SlotRequest& request,
-                           std::uint32_t limit, Outbox& out) {
-  const auto index = FindRow(request.target, static_cast<Resource>(request.resource & 1));
-  if (!index || from == settings_.self) return;
-  Row& r = rows_[*index];
-  const bool known = std::any_of(r.out.begin(), r.out.end(), [&](const LoanOut& loan) {
-    return loan.borrower == from && loan.incarnation == request.borrower &&
-           loan.sequence == request.sequence;
-  });
-  // A duplicated request must not take a second unit.
-  if (known || OwnFree(now, r, limit) == 0) return;
-  if (r.in.empty() && r.out.empty()) active_.push_back(*index);
-  r.out.push_back(LoanOut{.borrower = from,
+bool SlotLedger::Lend(TimePoint now, InstanceId borrower, std::size_t row,
+                      const SlotRequest& request, std::uint32_t limit, Outbox& out) {
+  Row& r = rows_[row];
+  if (OwnFree(now, r, limit) == 0) return false;
+  if (r.in.empty() && r.out.empty()) active_.push_back(row);
+  r.out.push_back(LoanOut{.borrower = borrower,
                           .incarnation = request.borrower,
                           .sequence = request.sequence,
                           .number = next_loan_++,
-                          .expires = now + WithDrift(settings_.max_hold),
+                          .expires = now + WithDrift(LoanDuration()),
                           .next_query = now + settings_.query_interval});
-  out.Send(from, SlotLoan{.target = r.target,
-                          .resource = request.resource,
-                          .borrower = request.borrower,
-                          .sequence = request.sequence,
-                          .lender = settings_.incarnation,
-                          .number = r.out.back().number});
+  out.Send(borrower, SlotLoan{.target = r.target,
+                              .resource = request.resource,
+                              .borrower = request.borrower,
+                              .sequence = request.sequence,
+                              .lender = settings_.incarnation,
+                              .number = r.out.back().number});
+  return true;
+}
+
+void SlotLedger::OnRequest(TimePoint now, InstanceId from, const SlotRequest& request,
+                           std::span<const Candidate> candidates, Outbox& out) {
+  const InstanceId borrower = request.passed_on > 0 ? request.from : from;
+  if (borrower == settings_.self) return;
+  const auto known = [&](const LoanOut& loan) {
+    return loan.borrower == borrower && loan.incarnation == request.borrower &&
+           loan.sequence == request.sequence;
+  };
+  for (const Candidate& candidate : candidates) {
+    const Row& row = rows_[candidate.row];
+    // A duplicated request must not take a second unit.
+    if (std::any_of(row.out.begin(), row.out.end(), known)) return;
+  }
+  for (const Candidate& candidate : candidates) {
+    if (Lend(now, borrower, candidate.row, request, candidate.limit, out)) return;
+  }
+  for (const Candidate& candidate : candidates) {
+    if (ReturnIdle(now, borrower, rows_[candidate.row], request, out)) return;
+  }
+  PassOn(borrower, request, out);
+}
+
+bool SlotLedger::ReturnIdle(TimePoint now, InstanceId borrower, Row& row,
+                            const SlotRequest& request, Outbox& out) {
+  const auto idle = std::find_if(row.in.begin(), row.in.end(), [&](const LoanIn& loan) {
+    return !loan.busy && now >= loan.idle_since + kMinIdle;
+  });
+  if (idle == row.in.end()) return false;
+  const InstanceId lender = idle->lender;
+  SendReturn(row, lender, idle->incarnation, idle->number, out);
+  row.in.erase(idle);
+  // A lender that asked itself gets its unit back by the return alone.
+  if (lender == borrower || request.passed_on >= kMaxPassedOn) return true;
+  SlotRequest next = request;
+  next.target = row.target;
+  next.from = borrower;
+  ++next.passed_on;
+  out.Send(lender, next);
+  return true;
+}
+
+void SlotLedger::PassOn(InstanceId borrower, const SlotRequest& request, Outbox& out) const {
+  if (divisions_.empty()) return;
+  const std::vector<InstanceId>& members = divisions_.back().members;
+  if (request.passed_on >= kMaxPassedOn || request.passed_on + 2U >= members.size()) return;
+  const auto self = std::find(members.begin(), members.end(), settings_.self);
+  if (self == members.end()) return;
+  SlotRequest next = request;
+  next.from = borrower;
+  ++next.passed_on;
+  auto i = static_cast<std::size_t>(self - members.begin());
+  do {
+    i = (i + 1) % members.size();
+  } while (members[i] == borrower);
+  if (members[i] != settings_.self) out.Send(members[i], next);
 }
 
 void SlotLedger::SendReturn(const Row& row, InstanceId lender, Incarnation incarnation,
@@ -226,16 +283,17 @@
   const bool fresh = loan.number > highest;
   highest = std::max(highest, loan.number);
   // The duration counts from this instance's request, so an answer to an unknown one has no expiry.
-  if (!fresh || loan.sequence != r.sequence) {
+  Pending& pending = pending_[loan.sequence % pending_.size()];
+  if (!fresh || loan.sequence == 0 || loan.sequence != pending.sequence) {
     SendReturn(r, from, loan.lender, loan.number, out);
     return;
   }
   if (r.in.empty() && r.out.empty()) active_.push_back(*index);
-  r.sequence = 0;
+  pending.sequence = 0;
   r.in.push_back(LoanIn{.lender = from,
                         .incarnation = loan.lender,
                         .number = loan.number,
-                        .expires = r.requested + settings_.max_hold,
+                        .expires = pending.requested + LoanDuration(),
                         .idle_since = now});
 }
 
@@ -251,8 +309,8 @@
 void SlotLedger::TickRow(TimePoint now, Row& row, Outbox& out) {
   std::erase_if(row.in, [&](const LoanIn& loan) {
     if (loan.busy) return false;
-    if (now >= loan.expires) return true;
-    if (now < loan.idle_since + settings_.idle_return) return false;
+    const bool spent = !Startable(now, loan);
+    if (!spent && now < loan.idle_since + settings_.idle_return) return false;
     SendReturn(row, loan.lender, loan.incarnation, loan.number, out);
     return true;
   });
