--- a/packages/core/include/dogwoodport/core/limits.h
+++ b/packages/core/include/dogwoodport/core/limits.h
@@ -36,7 +36,7 @@
 };
 
 /// Returns the stable name of `reason`, as used in refusals and metrics.
-const char* Name(LimitReason reason) noexcept;
+std::string_view ToString(LimitReason reason) noexcept;
 
 /// The request may be forwarded now.
 struct Admitted {};
@@ -45,12 +45,12 @@
 struct Queued {};
 
 /// The request gets its refusal now; nothing was run.
-struct Refused {
+struct LimitRefused {
   Duration retry_after{0};
   LimitReason reason = LimitReason::kNoTokens;
 };
 
-using Admission = std::variant<Admitted, Queued, Refused>;
+using Admission = std::variant<Admitted, Queued, LimitRefused>;
 
 /// Outcome of a request that was `Queued`; never `Queued` itself.
 struct LimitDecision {
@@ -79,8 +79,9 @@
   Incarnation incarnation;
   DataCentreId data_centre;
   LimitPolicy policy = TokenLoans{};
-  /// Longest time that a request waits for tokens; covers two round trips between data centres.
-  Duration max_wait{25'000};
+  /// Longest time that a request waits for tokens; covers four requests for loans. With 25 ms, the
+  /// smallest accounts were often refused with a part of a token in hand.
+  Duration max_wait{45'000};
   /// Requests of one account that may wait for tokens at once.
   std::uint32_t max_waiting = 64;
 };
@@ -183,10 +184,9 @@
     std::uint64_t refused = 0;
   };
 
-  struct Peer {
+  struct Candidate {
     InstanceId id;
     bool local = false;
-    TimePoint silent_until;
   };
 
   struct PendingRequest {
@@ -207,17 +207,16 @@
   void ApplyShares(TimePoint now);
   double TargetMemberPart() const;
   void LowerMemberPart();
-  void RebuildPeers();
   void AddDemand(Account& account, TimePoint now, double requests);
   double Demand(const Account& account, TimePoint now) const;
   double Shortfall(const Account& account, TimePoint now) const;
   void Activate(Account& account);
   void ServeWaiting(Account& account, TimePoint now);
   void RefuseWaiting(Account& account, LimitReason reason);
-  Refused MakeRefusal(Account& account, LimitReason reason);
+  LimitRefused MakeRefusal(Account& account, LimitReason reason);
   bool UsesExchange() const;
   bool IsExchange(AccountId account) const;
-  std::vector<InstanceId> Candidates(AccountId account) const;
+  std::vector<Candidate> Candidates(AccountId account) const;
   double EstimateLeft(const Account& account, InstanceId peer, TimePoint now) const;
   std::optional<InstanceId> NextLender(Account& account, double wanted, TimePoint now);
   bool MayWait(const Account& account) const;
@@ -236,7 +235,9 @@
     std::vector<InstanceId> instances;
   };
   std::unordered_map<DataCentreId, Sharers> sharers_;
-  std::unordered_map<InstanceId, Peer> peers_;
+  /// Peers that left a request unanswered are skipped until the given time.
+  std::unordered_map<InstanceId, TimePoint> silent_until_;
+  std::size_t sharer_count_ = 0;
   std::vector<PendingRequest> pending_;
   std::vector<LimitDecision> decisions_;
   std::uint64_t config_version_ = 0;
--- a/packages/core/include/dogwoodport/core/orders.h
+++ b/packages/core/include/dogwoodport/core/orders.h
@@ -22,6 +22,7 @@
 #include "dogwoodport/core/delegation.h"
 #include "dogwoodport/core/message.h"
 #include "dogwoodport/core/order_table.h"
+#include "dogwoodport/core/request.h"
 
 namespace dogwoodport {
 
@@ -42,9 +43,6 @@
 /// Returns the authority for `id` among the members without witnesses; nothing if there is none.
 std::optional<InstanceId> OrderAuthority(const Delegation& delegation, const OrderId& id);
 
-/// Whether an order's request ran, as in the `Dogwood-Run` header.
-enum class RunState : std::uint8_t { kNo, kYes, kUnknown };
-
 /// Why an order was refused.
 enum class OrderRefusal : std::uint8_t {
   kConflict,      ///< same idempotency key, other body: 409
@@ -60,7 +58,7 @@
 };
 
 /// Returns the stable code of `refusal`.
-const char* Name(OrderRefusal refusal) noexcept;
+std::string_view ToString(OrderRefusal refusal) noexcept;
 
 /// The gateway may send the request; directly before the first byte it calls `OnFirstByte`.
 struct MaySend {
--- a/packages/core/include/dogwoodport/core/secret_store.h
+++ b/packages/core/include/dogwoodport/core/secret_store.h
@@ -34,7 +34,7 @@
 };
 
 /// Returns the stable name of `failure`.
-const char* Name(SecretFailure failure) noexcept;
+std::string_view ToString(SecretFailure failure) noexcept;
 
 using SecretResult = std::variant<AccountId, SecretFailure>;
 
--- a/packages/core/src/limits.cc
+++ b/packages/core/src/limits.cc
@@ -11,7 +11,9 @@
 // ms.
 constexpr Duration kEmptyPeerDelay{20'000};
 constexpr std::uint32_t kMaxEmptyDoublings = 4;
-constexpr Duration kDemandWindow{50'000};
+// With 50 ms, one request of a slow account looked like 20 a second, and half of the account's
+// tokens were borrowed ahead and expired.
+constexpr Duration kDemandWindow{500'000};
 constexpr Duration kSilentPeer{200'000};  // a peer that left a request unanswered is skipped
 constexpr Duration kNoPermitRetry{500'000};
 // Demand that a borrower covers ahead: one request interval plus a round trip, with reserve.
@@ -19,7 +21,7 @@
 // Demand that a lender keeps for itself.
 constexpr double kKeepSeconds = 0.02;
 // A lender in another data centre is chosen only if it covers this much more of the demand.
-constexpr double kRemotePenalty = 0.3;
+constexpr double kRemotePenalty = 0.05;
 // After this many empty answers in a row, requests are refused at once rather than queued.
 constexpr std::uint32_t kEmptyAnswersBeforeRefusal = 3;
 // A lender is asked once it is expected to hold this part of its cap, so that a message is
@@ -57,8 +59,9 @@
 
 }  // namespace
 
-const char* Name(LimitReason reason) noexcept {
-  constexpr const char* kNames[] = {"rate_exceeded", "no_permit", "unknown_account", "deadline"};
+std::string_view ToString(LimitReason reason) noexcept {
+  constexpr std::string_view kNames[] = {"rate_exceeded", "no_permit", "unknown_account",
+                                         "deadline"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
@@ -110,7 +113,8 @@
     if (!member.witness) sharers.instances.push_back(member.id);
   }
   sharers.instances.insert(sharers.instances.end(), followers.begin(), followers.end());
-  RebuildPeers();
+  sharer_count_ = 0;
+  for (const auto& [id, entry] : sharers_) sharer_count_ += entry.instances.size();
   const bool own = delegation.data_centre == settings_.data_centre;
   const bool is_static = std::holds_alternative<StaticShares>(settings_.policy);
   if (!own && !is_static) return;
@@ -170,20 +174,6 @@
   }
 }
 
-void Limits::RebuildPeers() {
-  std::unordered_map<InstanceId, Peer> peers;
-  for (const auto& [data_centre, sharers] : sharers_) {
-    for (const InstanceId id : sharers.instances) {
-      if (id == settings_.self) continue;
-      const auto old = peers_.find(id);
-      Peer peer = old == peers_.end() ? Peer{id} : old->second;
-      peer.local = data_centre == settings_.data_centre;
-      peers.emplace(id, peer);
-    }
-  }
-  peers_ = std::move(peers);
-}
-
 bool Limits::Usable(TimePoint now) {
   if (now - last_tick_ > kLimitPauseGap) OnPause(now);
   UpdateShare(now);
@@ -202,9 +192,13 @@
 
 double Limits::Shortfall(const Account& account, TimePoint now) const {
   const auto waiting = static_cast<double>(account.waiting.size());
-  // Tokens beyond what the whole fleet generates while a loan lives would expire unused.
-  const double ahead = std::min(Demand(account, now) * kBorrowAheadSeconds,
-                                account.rate * Seconds(kTokenLoanDuration));
+  const double demand = Demand(account, now);
+  const double loan_seconds = Seconds(kTokenLoanDuration);
+  // Tokens beyond what the whole fleet generates while a loan lives would expire unused, and so
+  // would those for a request that is not expected while the loan lives.
+  const bool expected = demand * loan_seconds >= 1;
+  const double ahead =
+      expected ? std::min(demand * kBorrowAheadSeconds, account.rate * loan_seconds) : 0.0;
   const double wanted = waiting > 0 ? std::max(1.0, waiting + ahead) : ahead;
   return wanted - account.ledger.available();
 }
@@ -226,22 +220,22 @@
       account.ledger.available() + account.ledger.rate() * Seconds(settings_.max_wait);
   if (accrued >= needed && account.ledger.cap() >= 1) return true;
   if (std::holds_alternative<StaticShares>(settings_.policy)) return false;
-  return account.empty_answers < kEmptyAnswersBeforeRefusal && !peers_.empty() &&
+  return account.empty_answers < kEmptyAnswersBeforeRefusal && sharer_count_ > 1 &&
          needed <= account.burst;
 }
 
-Refused Limits::MakeRefusal(Account& account, LimitReason reason) {
+LimitRefused Limits::MakeRefusal(Account& account, LimitReason reason) {
   ++account.refused;
-  if (reason == LimitReason::kNoPermit) return Refused{kNoPermitRetry, reason};
+  if (reason == LimitReason::kNoPermit) return LimitRefused{kNoPermitRetry, reason};
   const double needed = static_cast<double>(account.waiting.size()) + 1;
   const double wait = account.rate > 0 ? std::min(needed / account.rate, 3600.0) : 3600.0;
-  return Refused{FromSeconds(wait), reason};
+  return LimitRefused{FromSeconds(wait), reason};
 }
 
 Admission Limits::Admit(TimePoint now, AccountId account_id, std::uint64_t request,
                         TimePoint deadline) {
   const auto it = accounts_.find(account_id);
-  if (it == accounts_.end()) return Refused{Duration{0}, LimitReason::kUnknownAccount};
+  if (it == accounts_.end()) return LimitRefused{Duration{0}, LimitReason::kUnknownAccount};
   Account& account = *it->second;
   if (!Usable(now)) return MakeRefusal(account, LimitReason::kNoPermit);
   AddDemand(account, now, 1);
@@ -299,49 +293,56 @@
          ExchangeOf(sharers_.at(settings_.data_centre).instances, account) == settings_.self;
 }
 
-std::vector<InstanceId> Limits::Candidates(AccountId account) const {
-  std::vector<InstanceId> candidates;
-  if (!UsesExchange()) {
-    for (const auto& [id, peer] : peers_) candidates.push_back(id);
-    return candidates;
+std::vector<Limits::Candidate> Limits::Candidates(AccountId account) const {
+  std::vector<Candidate> candidates;
+  const bool exchange_mode = UsesExchange();
+  if (exchange_mode) {
+    const auto& members = sharers_.at(settings_.data_centre).instances;
+    const InstanceId exchange = *ExchangeOf(members, account);
+    if (exchange != settings_.self) return {{exchange, true}};
   }
-  const auto& members = sharers_.at(settings_.data_centre).instances;
-  const InstanceId exchange = *ExchangeOf(members, account);
-  if (exchange != settings_.self) return {exchange};
   for (const auto& [data_centre, sharers] : sharers_) {
-    if (data_centre == settings_.data_centre || sharers.instances.empty()) continue;
-    candidates.push_back(*ExchangeOf(sharers.instances, account));
-  }
-  for (const InstanceId id : members) {
-    if (id != settings_.self) candidates.push_back(id);
+    const bool local = data_centre == settings_.data_centre;
+    if (exchange_mode && !local) {
+      const auto exchange = ExchangeOf(sharers.instances, account);
+      if (exchange) candidates.push_back({*exchange, false});
+      continue;
+    }
+    for (const InstanceId id : sharers.instances) {
+      if (id != settings_.self) candidates.push_back({id, local});
+    }
   }
   return candidates;
 }
 
 double Limits::EstimateLeft(const Account& account, InstanceId peer, TimePoint now) const {
+  // The peers' shares are taken as even; the own one is 0 while the instance is new.
+  const auto sharers = static_cast<double>(sharer_count_);
+  const double cap = account.burst / sharers;
   const auto it = account.lenders.find(peer);
-  if (it == account.lenders.end()) return std::max(account.ledger.cap(), kOneMillitoken);
-  const double accrued = account.ledger.rate() * Seconds(now - it->second.at);
-  return std::max(it->second.left, std::min(account.ledger.cap(), it->second.left + accrued));
+  if (it == account.lenders.end()) return cap;
+  const double accrued = account.rate / sharers * Seconds(now - it->second.at);
+  return std::max(it->second.left, std::min(cap, it->second.left + accrued));
 }
 
 std::optional<InstanceId> Limits::NextLender(Account& account, double wanted, TimePoint now) {
-  const std::vector<InstanceId> candidates = Candidates(account.id);
+  const std::vector<Candidate> candidates = Candidates(account.id);
   const bool to_exchange = UsesExchange() && candidates.size() == 1;
   std::optional<InstanceId> best;
   double best_score = -1;
-  const double worthwhile =
-      std::max(kOneMillitoken, std::min(wanted, account.ledger.cap() * kWorthwhilePart));
+  const double worthwhile = std::max(
+      kOneMillitoken,
+      std::min(wanted, account.burst / static_cast<double>(sharer_count_) * kWorthwhilePart));
   ++lender_cursor_;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const InstanceId id = candidates[(i + lender_cursor_) % candidates.size()];
-    const auto peer = peers_.find(id);
-    if (peer == peers_.end() || now < peer->second.silent_until) continue;
+    const auto& [id, local] = candidates[(i + lender_cursor_) % candidates.size()];
+    const auto silent = silent_until_.find(id);
+    if (silent != silent_until_.end() && now < silent->second) continue;
     const auto known = account.lenders.find(id);
     if (known != account.lenders.end() && now < known->second.skip_until) continue;
     const double left = to_exchange ? wanted : EstimateLeft(account, id, now);
     if (left < worthwhile) continue;
-    const double score = std::min(1.0, left / wanted) + (peer->second.local ? kRemotePenalty : 0.0);
+    const double score = std::min(1.0, left / wanted) + (local ? kRemotePenalty : 0.0);
     if (score > best_score) {
       best = id;
       best_score = score;
@@ -374,7 +375,8 @@
       pending_.push_back(PendingRequest{requests.back().second.sequence, *lender, now});
       it = std::prev(requests.end());
     }
-    it->second.wanted.push_back(TokenAmount{account->id, Millitokens(wanted)});
+    // Rounded up, since a thousandth less than a whole token admits nothing.
+    it->second.wanted.push_back(TokenAmount{account->id, Millitokens(wanted + kOneMillitoken)});
     account->next_request = now + kRequestInterval;
     // Until the answer arrives the peer counts as empty, so the next request goes elsewhere.
     LenderEstimate& estimate = account->lenders[*lender];
@@ -454,10 +456,10 @@
   last_tick_ = now;
   std::erase_if(pending_, [&](const PendingRequest& p) {
     if (now - p.sent_at < kTokenLoanDuration) return false;
-    const auto peer = peers_.find(p.peer);
-    if (peer != peers_.end()) peer->second.silent_until = now + kSilentPeer;
+    silent_until_[p.peer] = now + kSilentPeer;
     return true;
   });
+  std::erase_if(silent_until_, [&](const auto& entry) { return entry.second <= now; });
   for (Account* account : active_) {
     account->ledger.Update(now);
     usable ? ServeWaiting(*account, now) : RefuseWaiting(*account, LimitReason::kNoPermit);
--- a/packages/core/src/orders.cc
+++ b/packages/core/src/orders.cc
@@ -54,8 +54,8 @@
 
 }  // namespace
 
-const char* Name(OrderRefusal refusal) noexcept {
-  constexpr const char* kNames[] = {
+std::string_view ToString(OrderRefusal refusal) noexcept {
+  constexpr std::string_view kNames[] = {
       "order_conflict", "not_authority",    "order_takeover", "order_transfer", "order_not_fresh",
       "no_permit",      "order_table_full", "deadline",       "not_sent",       "order_busy"};
   return kNames[static_cast<std::size_t>(refusal)];
--- a/packages/core/src/secret_store.cc
+++ b/packages/core/src/secret_store.cc
@@ -92,9 +92,9 @@
 
 }  // namespace
 
-const char* Name(SecretFailure failure) noexcept {
-  constexpr const char* kNames[] = {"secret_missing", "secret_malformed", "secret_unknown",
-                                    "secret_stale"};
+std::string_view ToString(SecretFailure failure) noexcept {
+  constexpr std::string_view kNames[] = {"secret_missing", "secret_malformed", "secret_unknown",
+                                         "secret_stale"};
   return kNames[static_cast<std::size_t>(failure)];
 }
 
--- a/standin/include/dogwoodport/standin/limit_fleet.h
+++ b/standin/include/dogwoodport/standin/limit_fleet.h
@@ -85,7 +85,7 @@
   std::uint64_t refused = 0;
   /// Admitted by a single bucket for the whole fleet.
   std::uint64_t reference_admitted = 0;
-  /// Refused although the single bucket admitted the request.
+  /// LimitRefused although the single bucket admitted the request.
   std::uint64_t wrongful = 0;
 };
 
@@ -121,6 +121,11 @@
   /// Instances that ever existed; the index is used by the other calls.
   std::size_t size() const noexcept { return nodes_.size(); }
   bool alive(std::size_t i) const { return nodes_[i]->alive; }
+  /// Whether the load balancer sends requests to instance `i`: it runs and has had a permit.
+  bool ready(std::size_t i) const {
+    const Node& node = *nodes_[i];
+    return node.alive && now_ >= node.paused_until && node.next_renewal > TimePoint{};
+  }
   std::size_t zone(std::size_t i) const { return nodes_[i]->zone; }
   InstanceId id(std::size_t i) const { return nodes_[i]->id; }
   Limits& limits(std::size_t i) { return *nodes_[i]->limits; }
@@ -345,15 +350,17 @@
 
   void Delegate(std::size_t zone, Duration detected) {
     control_.emplace(now_ + detected, [this, zone] {
-      Delegation delegation{config_.data_centres[zone].id, ++offset_, {}, {}};
+      const auto delegation = std::make_shared<Delegation>();
+      delegation->data_centre = config_.data_centres[zone].id;
+      delegation->offset = ++offset_;
       for (const std::size_t i : members_[zone]) {
-        delegation.members.push_back(Member{nodes_[i]->id, Incarnation{i + 1}});
+        delegation->members.push_back(Member{nodes_[i]->id, Incarnation{i + 1}});
       }
-      latest_[zone] = delegation;
+      latest_[zone] = *delegation;
       for (auto& node : nodes_) {
         Learn(*node, [this, n = node.get(), delegation, zone] {
-          n->limits->OnDelegation(now_, delegation);
-          if (n->zone == zone) n->known_offset = std::max(n->known_offset, delegation.offset);
+          n->limits->OnDelegation(now_, *delegation);
+          if (n->zone == zone) n->known_offset = std::max(n->known_offset, delegation->offset);
         });
       }
       // Takeover: from here on permits are given under the new delegation only.
--- a/tests/core/unit-limits.cpp
+++ b/tests/core/unit-limits.cpp
@@ -310,11 +310,11 @@
   const AccountId a = AccountId::FromName("a");
   const TimePoint deadline = fleet.now() + kSecond;
   CHECK(std::holds_alternative<Admitted>(limits.Admit(fleet.now(), a, 1, deadline)));
-  const auto refused = std::get<Refused>(limits.Admit(fleet.now(), a, 2, deadline));
+  const auto refused = std::get<LimitRefused>(limits.Admit(fleet.now(), a, 2, deadline));
   CHECK(refused.reason == LimitReason::kNoTokens);
   CHECK(refused.retry_after >= 2 * kSecond);
   const auto unknown = limits.Admit(fleet.now(), AccountId::FromName("x"), 3, deadline);
-  CHECK(std::get<Refused>(unknown).reason == LimitReason::kUnknownAccount);
+  CHECK(std::get<LimitRefused>(unknown).reason == LimitReason::kUnknownAccount);
 }
 
 }  // namespace dogwoodport
