--- a/packages/core/include/dogwoodport/core/target_table.h
+++ b/packages/core/include/dogwoodport/core/target_table.h
@@ -51,7 +51,7 @@
 };
 
 /// Load report of a target, used to break ties.
-struct LoadReport {
+struct LoadReading {
   std::uint32_t in_flight = 0;
   TimePoint measured;
   /// Distrusted reports are ignored until this time.
@@ -80,7 +80,7 @@
 
   double latency_us = 0;
   double error_rate = 0;
-  LoadReport report;
+  LoadReading report;
   ColdStartRamp ramp;
   std::uint64_t boot = 0;
   HealthState health = HealthState::kReady;
@@ -90,6 +90,11 @@
   SlowState slow = SlowState::kNormal;
   /// Cumulative log-likelihood ratio of "slowed" against "normal".
   double suspicion = 0;
+  /// `suspicion` with that of unanswered attempts, as of the last tick.
+  double evidence = 0;
+  /// Part of `evidence` that the other instances know, and what they know beyond this instance.
+  double sent_evidence = 0;
+  double peer_evidence = 0;
   std::uint32_t slow_episode = 0;
   TimePoint recovered;
   TimePoint hold_until;
@@ -116,6 +121,9 @@
   std::uint64_t samples = 0;
   /// Ejected targets in other data centres as last reported.
   std::uint32_t ejected_elsewhere = 0;
+  /// Turn and time of the next request for a slot of another instance.
+  std::size_t next_target = 0;
+  TimePoint next_borrow;
 };
 
 /// Rows of targets and services; a row keeps its index until the process ends.
--- a/packages/core/src/routing.cc
+++ b/packages/core/src/routing.cc
@@ -7,6 +7,8 @@
 
 // A loan inside a data centre takes one round trip; waiting longer costs more than spilling over.
 constexpr Duration kBorrowWait{1'500};
+// Requests for slots of a service; a loan serves about ten requests before it goes back.
+constexpr Duration kServiceBorrowInterval{500};
 // Time after which a waiting request asks again when nothing else wakes it.
 constexpr Duration kAskAgain{1'000};
 // Owners come back by a move of the shard, which takes at least this long.
@@ -118,9 +120,9 @@
     if (waited_out) return Refused{RefusalReason::kNoTarget, kRetryAfter};
     return Wait{now + kOwnerAskAgain};
   }
-  if (const auto chosen = Start(now, *index, request)) return *chosen;
+  if (const auto chosen = Start(now, *index, request, false)) return *chosen;
   if (waited_out) return Refused{RefusalReason::kNoCapacity, kRetryAfter};
-  ledger_.Borrow(now, row.slot_row, out);
+  ledger_.Borrow(now, row.slot_row, false, out);
   return Wait{now + kAskAgain};
 }
 
@@ -140,7 +142,7 @@
     index = SelectTarget(settings_.policy, query, table_, service, ledger_);
   }
   if (index) {
-    if (const auto chosen = Start(now, *index, request)) return *chosen;
+    if (const auto chosen = Start(now, *index, request, false)) return *chosen;
   }
   return ChooseFull(now, request, service, out);
 }
@@ -161,7 +163,7 @@
     const SelectionQuery query{.now = now, .excluded = request.excluded, .allow_slow = true};
     const auto index = SelectTarget(settings_.policy, query, table_, service, ledger_);
     if (index) {
-      if (const auto chosen = Start(now, *index, request)) return *chosen;
+      if (const auto chosen = Start(now, *index, request, false)) return *chosen;
     }
   }
   const bool any = std::any_of(service.targets.begin(), service.targets.end(),
@@ -179,7 +181,7 @@
   }
   for (const std::size_t i : service.targets) {
     TargetRow& row = table_.rows()[i];
-    if (!row.ramp.ramping() || now < row.next_warm_up || row.slow >= SlowState::kSlow) continue;
+    if (!row.ramp.ramping() || now < row.next_warm_up || row.slow != SlowState::kNormal) continue;
     if (!TakesNewWork(row, now) || FreeSlots(row, ledger_, now) == 0) continue;
     row.next_warm_up = now + kWarmUpInterval;
     return i;
@@ -187,8 +189,8 @@
   return std::nullopt;
 }
 
-std::optional<Chosen> Routing::Start(TimePoint now, std::size_t target,
-                                     const RouteRequest& request) {
+std::optional<Chosen> Routing::Start(TimePoint now, std::size_t target, const RouteRequest& request,
+                                     bool is_hedge) {
   TargetRow& row = table_.rows()[target];
   const auto hold = ledger_.Acquire(now, row.slot_row, row.ramp.Limit(row.config.slots));
   if (!hold) return std::nullopt;
@@ -200,25 +202,23 @@
   attempt.hold = *hold;
   attempt.repeatable = request.repeatable && !request.owner;
   row.attempts.push_back(attempt);
-  routes_[attempt.route].hedge.OnAttempt();
+  attempt.is_hedge = is_hedge;
+  if (!is_hedge) routes_[attempt.route].hedge.OnAttempt();
   const bool verify = std::exchange(row.verify_connection, false);
   return Chosen{row.config.id, attempt.id, attempt.deadline, verify};
 }
 
-void Routing::BorrowFor(TimePoint now, const ServiceRow& service, Outbox& out) {
-  // One request at a time for the service: the target with the least expected latency.
-  const TargetRow* best = nullptr;
-  double best_latency = 0;
-  for (const std::size_t i : service.targets) {
-    const TargetRow& row = table_.rows()[i];
+void Routing::BorrowFor(TimePoint now, ServiceRow& service, Outbox& out) {
+  if (now < service.next_borrow) return;
+  service.next_borrow = now + kServiceBorrowInterval;
+  // The next target in turn names the service; a lender may choose another one.
+  for (std::size_t i = 0; i < service.targets.size(); ++i) {
+    const std::size_t index = service.targets[service.next_target++ % service.targets.size()];
+    const TargetRow& row = table_.rows()[index];
     if (!TakesNewWork(row, now) || row.slow >= SlowState::kSlow) continue;
-    if (row.attempts.size() + row.peers_in_flight >= row.config.slots) continue;
-    const double latency = ExpectedLatency(row, service, now);
-    if (best != nullptr && latency >= best_latency) continue;
-    best = &row;
-    best_latency = latency;
+    ledger_.Borrow(now, row.slot_row, true, out);
+    return;
   }
-  if (best != nullptr) ledger_.Borrow(now, best->slot_row, out);
 }
 
 void Routing::OnRequestStarted(TimePoint now, AttemptId id) {
@@ -303,7 +303,7 @@
   const TargetRow* row = table_.Find(target);
   if (row == nullptr) return std::nullopt;
   auto hold = ledger_.Acquire(now, row->connection_row, row->config.connections);
-  if (!hold) ledger_.Borrow(now, row->connection_row, out);
+  if (!hold) ledger_.Borrow(now, row->connection_row, false, out);
   // An own connection stays open; only a borrowed one has to be closed by the end of its loan.
   if (hold && hold->loan == 0) hold->until = TimePoint::max();
   return hold;
@@ -337,17 +337,16 @@
                              .route = routes_[first->route].id,
                              .repeatable = true,
                              .deadline = first->deadline};
-  const auto chosen = Start(now, *index, request);
+  const auto chosen = Start(now, *index, request, true);
   if (!chosen) return std::nullopt;
   Attempt* second = attempts_.Find(chosen->attempt);
-  second->is_hedge = true;
   second->rival = first->id;
   first->rival = second->id;
   return chosen;
 }
 
 void Routing::StartRamp(TimePoint now, TargetRow& row, bool cold) {
-  row.ramp.Start(now, row.ramp.episode() + 1);
+  row.ramp.Start(now, row.ramp.episode() + 1, cold);
   row.cold = cold;
   row.next_warm_up = now;
   row.changed = true;
@@ -375,6 +374,9 @@
   ApplyState(now, row, report);
   if (returned && !row.ramp.ramping()) StartRamp(now, row, true);
   if (!settings_.detect_slow) return;
+  // A target whose shards moved away gets no requests; fast probes take their place.
+  const bool recovering = row.ramp.ramping() && !row.cold && row.slow == SlowState::kNormal;
+  if (recovering) row.ramp.OnSuccess(now, 0, 1, row.config.slots);
   if (detector_.OnProbe(now, table_, index, Micros(report.latency))) StartRamp(now, row, false);
 }
 
@@ -405,11 +407,22 @@
 }
 
 void Routing::OnMessage(TimePoint now, InstanceId from, const SlotRequest& message, Outbox& out) {
-  const TargetRow* row = table_.Find(message.target);
-  if (row == nullptr) return;
-  const bool slot = message.resource == static_cast<std::uint8_t>(Resource::kSlot);
-  ledger_.OnRequest(now, from, message,
-                    slot ? row->ramp.Limit(row->config.slots) : row->config.connections, out);
+  const TargetRow* named = table_.Find(message.target);
+  if (named == nullptr) return;
+  candidates_.clear();
+  if (message.resource == static_cast<std::uint8_t>(Resource::kConnection)) {
+    candidates_.push_back({named->connection_row, named->config.connections});
+  } else {
+    candidates_.push_back({named->slot_row, named->ramp.Limit(named->config.slots)});
+  }
+  if (message.any_of_service) {
+    for (const std::size_t i : table_.services()[named->service].targets) {
+      const TargetRow& row = table_.rows()[i];
+      if (&row == named || !TakesNewWork(row, now) || row.slow >= SlowState::kSlow) continue;
+      candidates_.push_back({row.slot_row, row.ramp.Limit(row.config.slots)});
+    }
+  }
+  ledger_.OnRequest(now, from, message, candidates_, out);
 }
 
 void Routing::OnMessage(TimePoint now, InstanceId from, const SlotLoan& message, Outbox& out) {
@@ -435,6 +448,7 @@
     row.ramp.Merge(now, evidence.ramp_episode, evidence.ramp_limit);
     if (!settings_.detect_slow) continue;
     const auto state = static_cast<SlowState>(evidence.slow_state & 3);
+    SlowGroupDetector::OnPeerEvidence(row, evidence.evidence / 10.0);
     detector_.OnPeerState(now, table_, *index, state, evidence.slow_episode);
   }
 }
@@ -506,7 +520,10 @@
 void Routing::SendChanges(Outbox& out) {
   TargetEvidence message;
   for (TargetRow& row : table_.rows()) {
-    if (std::exchange(row.changed, false)) message.rows.push_back(EvidenceOf(row));
+    const double evidence = SlowGroupDetector::TakeUnsentEvidence(row);
+    if (!std::exchange(row.changed, false) && evidence == 0) continue;
+    message.rows.push_back(EvidenceOf(row));
+    message.rows.back().evidence = static_cast<std::uint8_t>(std::min(evidence * 10, 255.0));
   }
   if (message.rows.empty()) return;
   for (const InstanceId member : data_centres_.Get(settings_.data_centre).members) {
