--- a/packages/core/include/dogwoodport/core/orders.h
+++ b/packages/core/include/dogwoodport/core/orders.h
@@ -58,7 +58,7 @@
 };
 
 /// Returns the stable code of `refusal`.
-const char* Name(OrderRefusal refusal) noexcept;
+std::string_view ToString(OrderRefusal refusal) noexcept;
 
 /// The gateway may send the request; directly before the first byte it calls `OnFirstByte`.
 struct MaySend {
