--- a/packages/core/src/routing.cc
+++ b/packages/core/src/routing.cc
@@ -14,7 +14,7 @@
 // Owners come back by a move of the shard, which takes at least this long.
 constexpr Duration kOwnerAskAgain{10'000};
 // Waiting longer than this many service times is worse than a slowed target.
-constexpr double kSlowWait = 3.0;
+constexpr double kSlowWait = 1.0;
 // Used part of the own data centre's slots above which there is little to borrow.
 constexpr double kNothingToBorrow = 0.90;
 // A cold target gets a request of each instance this often although its answers are slow.
