Count forwarded requests beyond those that a load report shows

Cause: requests forwarded before a load report were counted twice, in the report and in the sender's own estimate, so that data centres with a fifth of their slots free were taken for full. Instances of a withdrawn data centre also refused at once what they could not pass on. Change: only the change of the estimate since the report is added; a withdrawn data centre lets its requests wait for room elsewhere.

--- a/packages/core/include/dogwoodport/core/spill_over.h
+++ b/packages/core/include/dogwoodport/core/spill_over.h
@@ -12,6 +12,18 @@
 
 namespace dogwoodport {
 
+/// Estimate of the requests sent to a service of another data centre that still run there.
+struct SentRequests {
+  double running = 0;
+  /// Value of `running` at the last load report, which shows these.
+  double reported = 0;
+  double service_us = 0;
+  TimePoint at;
+
+  /// Lets the estimate fade with the service time. Complexity: constant.
+  void Advance(TimePoint now) noexcept;
+};
+
 /// What is known of one data centre.
 struct DataCentreRow {
   DataCentreId id;
@@ -21,10 +33,8 @@
   std::int64_t round_trip_us = 0;
   std::vector<ServiceLoad> services;
   TimePoint reported;
-  /// Requests sent there that may still run and that the report does not show, by service as in
-  /// `services`; fades with the service time.
-  std::vector<double> sent;
-  TimePoint sent_at;
+  /// By service as in `services`.
+  std::vector<SentRequests> sent;
 };
 
 /// Table of data centres.
--- a/packages/core/src/routing.cc
+++ b/packages/core/src/routing.cc
@@ -113,9 +113,13 @@
 Choice Routing::ChooseOwner(TimePoint now, const RouteRequest& request, Outbox& out) {
   const auto index = table_.IndexOf(*request.owner);
   if (!index) return Refused{RefusalReason::kUnknownTarget, Duration{0}};
-  if (!OwnInService()) return Refused{RefusalReason::kWithdrawn, kRetryAfter};
-  TargetRow& row = table_.rows()[*index];
   const bool waited_out = now - request.arrived >= settings_.max_wait;
+  if (!OwnInService()) {
+    // The shards of a withdrawn data centre move away.
+    if (waited_out) return Refused{RefusalReason::kWithdrawn, kRetryAfter};
+    return Wait{now + kOwnerAskAgain};
+  }
+  TargetRow& row = table_.rows()[*index];
   if (!TakesNewWork(row, now)) {
     if (waited_out) return Refused{RefusalReason::kNoTarget, kRetryAfter};
     return Wait{now + kOwnerAskAgain};
@@ -129,11 +133,12 @@
 Choice Routing::ChooseAny(TimePoint now, const RouteRequest& request, ServiceRow& service,
                           Outbox& out) {
   if (!OwnInService()) {
-    const auto other =
-        request.forwarded || !settings_.spill_over
-            ? std::nullopt
-            : data_centres_.Choose(now, service.id, settings_.data_centre, service.baseline_us);
-    if (other) return SpillOver{*other};
+    if (!request.forwarded && settings_.spill_over) {
+      const auto other =
+          data_centres_.Choose(now, service.id, settings_.data_centre, service.baseline_us);
+      if (other) return SpillOver{*other};
+      if (now - request.arrived < settings_.max_wait) return Wait{now + kAskAgain};
+    }
     return Refused{RefusalReason::kWithdrawn, kRetryAfter};
   }
   std::optional<std::size_t> index = WarmUpTarget(now, request, service);
--- a/packages/core/src/spill_over.cc
+++ b/packages/core/src/spill_over.cc
@@ -10,15 +10,14 @@
 // data centre is left for a far one only when it is clearly more loaded.
 constexpr double kFullCostUs = 10'000;
 
-void Fade(TimePoint now, DataCentreRow& row, double service_us) {
-  const auto elapsed = static_cast<double>((now - row.sent_at).count());
-  const double factor = std::exp(-elapsed / std::max(service_us, 1.0));
-  for (double& sent : row.sent) sent *= factor;
-  row.sent_at = now;
-}
-
 }  // namespace
 
+void SentRequests::Advance(TimePoint now) noexcept {
+  const auto elapsed = static_cast<double>((now - at).count());
+  running *= std::exp(-elapsed / std::max(service_us, 1.0));
+  at = now;
+}
+
 DataCentreRow& DataCentreTable::Get(DataCentreId id) {
   const auto it = std::find_if(rows_.begin(), rows_.end(),
                                [&](const DataCentreRow& row) { return row.id == id; });
@@ -36,7 +35,11 @@
 void DataCentreTable::OnLoad(TimePoint now, const DataCentreLoad& load) {
   DataCentreRow& row = Get(load.data_centre);
   row.services = load.services;
-  row.sent.assign(load.services.size(), 0);
+  row.sent.resize(load.services.size());
+  for (SentRequests& sent : row.sent) {
+    sent.Advance(now);
+    sent.reported = sent.running;
+  }
   row.reported = now;
   if (load.round_trip_us > 0) row.round_trip_us = load.round_trip_us;
 }
@@ -51,11 +54,14 @@
   for (DataCentreRow& row : rows_) {
     if (row.id == own || !row.in_service || row.services.empty()) continue;
     if (now > row.reported + kMaxReportAge) continue;
-    Fade(now, row, service_us);
     for (std::size_t i = 0; i < row.services.size(); ++i) {
       const ServiceLoad& load = row.services[i];
       if (load.service != service || load.usable_slots == 0) continue;
-      const double used = (load.in_flight + row.sent[i] * peers) / load.usable_slots;
+      SentRequests& sent = row.sent[i];
+      sent.service_us = service_us;
+      sent.Advance(now);
+      const double added = (sent.running - sent.reported) * peers;
+      const double used = (load.in_flight + added) / load.usable_slots;
       if (used > 1.0 - kReserve) continue;
       const double cost = static_cast<double>(row.round_trip_us) + used * kFullCostUs;
       if (best != nullptr && cost >= best_cost) continue;
@@ -65,7 +71,7 @@
     }
   }
   if (best == nullptr) return std::nullopt;
-  best->sent[best_service] += 1;
+  best->sent[best_service].running += 1;
   return best->id;
 }
 
