--- a/packages/core/include/dogwoodport/core/message.h
+++ b/packages/core/include/dogwoodport/core/message.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "dogwoodport/core/forward_messages.h"
 #include "dogwoodport/core/limit_messages.h"
 #include "dogwoodport/core/membership_messages.h"
 #include "dogwoodport/core/order_messages.h"
@@ -16,9 +17,9 @@
 namespace dogwoodport {
 
 /// Any message between two instances.
-using Message =
-    detail::ConcatToVariant<detail::TypeList<std::monostate>, MembershipMessages, StateMessages,
-                            OwnershipMessages, LimitMessages, OrderMessages, RoutingMessages>::Type;
+using Message = detail::ConcatToVariant<detail::TypeList<std::monostate>, MembershipMessages,
+                                        StateMessages, OwnershipMessages, LimitMessages,
+                                        OrderMessages, RoutingMessages, ForwardMessages>::Type;
 
 /// A message and its receiver.
 struct Envelope {
@@ -30,9 +31,7 @@
 class Outbox {
  public:
   /// Appends `message` for `to`. Complexity: amortized constant.
-  void Send(InstanceId to, Message message) {
-    envelopes_.push_back(Envelope{to, std::move(message)});
-  }
+  void Send(InstanceId to, Message message);
 
   /// Removes and returns all messages. Complexity: constant.
   std::vector<Envelope> Take() { return std::exchange(envelopes_, {}); }
