--- a/packages/core/src/delegation_proposer.cc
+++ b/packages/core/src/delegation_proposer.cc
@@ -27,6 +27,7 @@
     ranked.resize(kMaxGroupMembers);
   }
   std::vector<Member> group;
+  group.reserve(ranked.size() + 1);
   for (const MemberSummary& member : ranked) {
     group.push_back({member.id, member.incarnation, false});
   }
