--- a/tests/mesh/unit-codec.cpp
+++ b/tests/mesh/unit-codec.cpp
@@ -19,8 +19,8 @@
   RenewRequest renew;
   Heartbeat heartbeat;
   heartbeat.sequence = 3;
-  return {request, ForwardAnswer{7, RunState::kYes, {200, {{"A", "b"}}, "whole"}},
-          ForwardCancel{9}, renew, heartbeat};
+  return {request, ForwardAnswer{7, RunState::kYes, {200, {{"A", "b"}}, "whole"}}, ForwardCancel{9},
+          renew, heartbeat};
 }
 
 }  // namespace
--- a/tests/mesh/unit-transport.cpp
+++ b/tests/mesh/unit-transport.cpp
@@ -57,9 +57,11 @@
 
 TEST_CASE("messages travel in order and oversized ones are not sent") {
   Inbox inbox;
-  Mesh b(Settings("b", {}), [&](Delivery d) { inbox.Push(std::move(d)); }, nullptr);
-  Mesh a(Settings("a", {{kB, "127.0.0.1:" + std::to_string(b.port())}}), [](const Delivery&) {},
-         nullptr);
+  Mesh b(
+      Settings("b", {}), [&](Delivery d) { inbox.Push(std::move(d)); }, nullptr);
+  Mesh a(
+      Settings("a", {{kB, "127.0.0.1:" + std::to_string(b.port())}}), [](const Delivery&) {},
+      nullptr);
   REQUIRE(Await([&] { return a.Connected(kB); }));
   for (std::uint64_t i = 0; i < 100; ++i) REQUIRE(a.Send(kB, ForwardCancel{i}));
   REQUIRE(Await([&] { return inbox.size() == 100; }));
@@ -73,7 +75,8 @@
 
 TEST_CASE("sending never blocks on a peer that is down or unknown") {
   // Guards against the router's thread waiting for a partitioned peer.
-  Mesh a(Settings("a", {{kB, "127.0.0.1:1"}}), [](const Delivery&) {}, nullptr);
+  Mesh a(
+      Settings("a", {{kB, "127.0.0.1:1"}}), [](const Delivery&) {}, nullptr);
   CHECK_FALSE(a.Send(kB, ForwardCancel{1}));
   CHECK_FALSE(a.Send(InstanceId::FromName("c"), ForwardCancel{1}));
   CHECK(a.counters().dropped_sends == 2);
@@ -83,9 +86,11 @@
   std::atomic<int> delivered{0};
   MeshSettings small = Settings("b", {});
   small.max_message_bytes = 1000;
-  Mesh b(small, [&](const Delivery&) { ++delivered; }, nullptr);
-  Mesh a(Settings("a", {{kB, "127.0.0.1:" + std::to_string(b.port())}}), [](const Delivery&) {},
-         nullptr);
+  Mesh b(
+      small, [&](const Delivery&) { ++delivered; }, nullptr);
+  Mesh a(
+      Settings("a", {{kB, "127.0.0.1:" + std::to_string(b.port())}}), [](const Delivery&) {},
+      nullptr);
   REQUIRE(Await([&] { return a.Connected(kB); }));
   ForwardAnswer answer;
   answer.answer.body.assign(1500, 'x');
@@ -100,13 +105,15 @@
   auto b = std::make_unique<Mesh>(
       Settings("b", {}), [&](Delivery d) { inbox.Push(std::move(d)); }, nullptr);
   const std::string address = "127.0.0.1:" + std::to_string(b->port());
-  Mesh a(Settings("a", {{kB, address}}), [](const Delivery&) {}, nullptr);
+  Mesh a(
+      Settings("a", {{kB, address}}), [](const Delivery&) {}, nullptr);
   REQUIRE(Await([&] { return a.Connected(kB); }));
   b.reset();
   REQUIRE(Await([&] { return !a.Connected(kB); }));
   MeshSettings again = Settings("b", {});
   again.listen = address;
-  b = std::make_unique<Mesh>(again, [&](Delivery d) { inbox.Push(std::move(d)); }, nullptr);
+  b = std::make_unique<Mesh>(
+      again, [&](Delivery d) { inbox.Push(std::move(d)); }, nullptr);
   REQUIRE(Await([&] { return a.Send(kB, ForwardCancel{2}); }));
   CHECK(Await([&] { return inbox.size() > 0; }));
 }
@@ -114,7 +121,9 @@
 TEST_CASE("an address that can't be used is reported") {
   MeshSettings settings = Settings("a", {});
   settings.listen = "192.0.2.1:1";
-  CHECK_THROWS_AS(Mesh(settings, [](const Delivery&) {}, nullptr), MeshError);
+  CHECK_THROWS_AS(Mesh(
+                      settings, [](const Delivery&) {}, nullptr),
+                  MeshError);
 }
 
 }  // namespace dogwoodport
