--- a/scripts/run_demo.sh
+++ b/scripts/run_demo.sh
@@ -17,7 +17,7 @@
 
 # Waits until a command succeeds; fails after 60 s.
 await() {
-  local end=$((SECONDS + 20))
+  local end=$((SECONDS + 60))
   until "$@" >/dev/null 2>&1; do
     if [ "$SECONDS" -ge "$end" ]; then
       echo "timed out: $*" >&2
@@ -96,7 +96,7 @@
 await curl -sSf "http://127.0.0.1:$log_port/v1/instances"
 
 say "publishing the configuration"
-config="{\"data_centres\":[{\"name\":\"howrah\"},{\"name\":\"bowbazar\"}],\"services\":[{\"name\":\"dokan\"},{\"name\":\"khata\",\"keyed\":true,\"shards\":16}],\"routes\":[{\"name\":\"stock\",\"path_prefix\":\"/dokan\",\"service\":\"dokan\"},{\"name\":\"ledger\",\"path_prefix\":\"/khata\",\"service\":\"khata\",\"key\":{\"in\":\"path\",\"segment\":1}}],\"accounts\":[{\"name\":\"hospital\",\"rate\":200,\"burst\":200,\"secrets\":[{\"key_id\":\"k1\",\"salt\":\"$salt\",\"hash\":\"$(hash_secret "$caller_secret")\"}]}],\"targets\":[$(target dokan-1 dokan howrah),$(target dokan-2 dokan bowbazar),$(target khata-1 khata howrah),$(target khata-2 khata bowbazar)],\"exceptions\":[]}"
+config="{\"data_centres\":[{\"name\":\"howrah\"},{\"name\":\"bowbazar\"}],\"services\":[{\"name\":\"dokan\"},{\"name\":\"khata\",\"keyed\":true,\"shards\":16}],\"routes\":[{\"name\":\"stock\",\"path_prefix\":\"/dokan\",\"service\":\"dokan\"},{\"name\":\"payment\",\"path_prefix\":\"/pay\",\"service\":\"dokan\",\"repeatable\":false},{\"name\":\"ledger\",\"path_prefix\":\"/khata\",\"service\":\"khata\",\"key\":{\"in\":\"path\",\"segment\":1}}],\"accounts\":[{\"name\":\"hospital\",\"rate\":200,\"burst\":200,\"secrets\":[{\"key_id\":\"k1\",\"salt\":\"$salt\",\"hash\":\"$(hash_secret "$caller_secret")\"}]}],\"targets\":[$(target dokan-1 dokan howrah),$(target dokan-2 dokan bowbazar),$(target khata-1 khata howrah),$(target khata-2 khata bowbazar)],\"exceptions\":[]}"
 append 1 "first configuration" config_change "{\"expected_version\":0,\"document\":$config}"
 for i in 0 1 2; do await curl -sSf "http://127.0.0.1:$((base + 4 + i))/-/ready"; done
 echo "all three instances are ready"
@@ -107,6 +107,29 @@
 for key in a b c d; do call "$entry/khata/$key"; done
 call "$entry/nowhere"
 
+say "a payment, and the same payment again through another instance: it runs once"
+call -X POST -H "Idempotency-Key: pay-1" -d "50 rupees" "$entry/pay"
+call -X POST -H "Idempotency-Key: pay-1" -d "50 rupees" "http://127.0.0.1:$((base + 2))/pay"
+call -X POST -H "Idempotency-Key: pay-1" -d "60 rupees" "$entry/pay"
+
+say "stopping target khata-2 (data centre bowbazar): its keys go to khata-1 or wait"
+kill -KILL "${pids[4]}"
+operators=http://127.0.0.1:$((base + 4))
+for key in a b; do call -H "Dogwood-Deadline-Ms: 8000" "$entry/khata/$key"; done
+
+say "the operators' pages of howrah-1"
+curl -sS -H "Authorization: Bearer $operator_secret" "$operators/-/status"
+curl -sS -H "Authorization: Bearer $operator_secret" "$operators/-/owners?service=khata&key=a"
+curl -sS "$operators/-/metrics" | grep -E '^dogwood_(requests|forwarded|attempts)_total'
+
+say "an operator withdraws the secret k1"
+append 2 "lost laptop" secret_change '{"account":"hospital","expected_version":0,"action":"withdraw","secret":{"key_id":"k1","salt":"","hash":""}}'
+refused() { [ "$(curl -s -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $caller_secret" "$entry/dokan/rice")" = 401 ]; }
+await refused
+call "$entry/dokan/rice"
+curl -sS -H "Authorization: Bearer $operator_secret" "$operators/-/audit?from=2" | head -c 300
+echo
+
 say "stopping howrah-1 with SIGTERM"
 kill -TERM "${pids[5]}"
 status=0
--- a/tests/daemon/process.h
+++ b/standin/include/dogwoodport/standin/process.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Processes of the project started by a test, and small helpers to talk to them.
+/// Processes of the project started by tests and measurements, and small helpers to talk to them.
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -21,7 +21,7 @@
 #include <thread>
 #include <vector>
 
-namespace dogwoodport::test {
+namespace dogwoodport::standin {
 
 /// Waits until `condition` holds; the limit only ends a run that hangs.
 template <typename Condition>
@@ -55,7 +55,10 @@
  public:
   Process(const std::string& program, std::vector<std::string> args, std::string output)
       : output_(std::move(output)) {
-    const auto bin = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "bin";
+    // Tests are in the build directory and tools in a directory below it.
+    auto build = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+    if (build.filename() == "tools") build = build.parent_path();
+    const auto bin = build / "bin";
     args.insert(args.begin(), (bin / program).string());
     std::vector<char*> argv;
     argv.reserve(args.size() + 1);
@@ -87,6 +90,8 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
 
+  pid_t pid() const noexcept { return pid_; }
+
   std::string Output() const {
     std::ifstream file(output_);
     std::ostringstream text;
@@ -134,4 +139,4 @@
   return out;
 }
 
-}  // namespace dogwoodport::test
+}  // namespace dogwoodport::standin
