--- a/packages/client/src/command.cc
+++ b/packages/client/src/command.cc
@@ -131,7 +131,8 @@
       if (it == missing.end()) continue;
       try {
         const ordered_json page = Instances().Get(instance, "/-/status");
-        if (page.value("applied_offset", std::uint64_t{0}) >= offset) missing.erase(it);
+        // The page has the offset of the first record that the instance has not folded.
+        if (page.value("log_offset", std::uint64_t{0}) > offset) missing.erase(it);
       } catch (const std::exception&) {
         // An instance that does not answer, or answers something else, has not confirmed.
       }
--- a/packages/client/src/commands_read.cc
+++ b/packages/client/src/commands_read.cc
@@ -40,11 +40,27 @@
   return objects ? *only : ordered_json::array({page});
 }
 
+/// Replaces objects by their fields and lists of objects by their number, to fit into a table.
+ordered_json Flatten(const ordered_json& entry) {
+  ordered_json row;
+  for (const auto& [name, value] : entry.items()) {
+    if (!value.is_object()) {
+      row[name] = value;
+      continue;
+    }
+    for (const auto& [inner, field] : value.items()) {
+      const bool list = field.is_array() && !field.empty() && field.front().is_object();
+      row[std::string(name).append(".").append(inner)] = list ? ordered_json(field.size()) : field;
+    }
+  }
+  return row;
+}
+
 void AddRows(ordered_json& rows, const std::string& instance, const ordered_json& page) {
   for (const ordered_json& entry : RowsOf(page)) {
     ordered_json row = {{"asked", instance}};
     if (entry.is_object()) {
-      row.update(entry);
+      row.update(Flatten(entry));
     } else {
       row["value"] = entry;
     }
--- a/packages/client/src/log_view.cc
+++ b/packages/client/src/log_view.cc
@@ -24,7 +24,8 @@
   try {
     return log.FirstRetained();
   } catch (const LogServiceError&) {
-    std::throw_with_nested(ClientError(ExitStatus::kUnreachable, "the log cannot be read"));
+    std::throw_with_nested(
+        ClientError(ExitStatus::kUnreachable, "the log cannot be read; nothing was changed"));
   }
 }
 
--- a/tests/client/unit-cli.cpp
+++ b/tests/client/unit-cli.cpp
@@ -90,7 +90,7 @@
 
 void ClientWorld::ConfirmAll() {
   for (const char* name : {"howrah-1", "barasat-1"}) {
-    instances->pages[std::string(name) + " /-/status"] = {{"applied_offset", 1'000'000}};
+    instances->pages[std::string(name) + " /-/status"] = {{"log_offset", 1'000'000}};
   }
 }
 
@@ -375,7 +375,9 @@
 // Guards against a claim that a change is in force where it is not.
 TEST_CASE("instances that do not confirm are named") {
   ClientWorld world;
-  world.instances->pages["barasat-1 /-/status"] = {{"applied_offset", 1}};
+  // The change gets offset 2; an instance whose next record is that one has not folded it.
+  world.instances->pages["barasat-1 /-/status"] = {{"log_offset", 2}};
+  world.instances->pages["howrah-1 /-/status"] = {{"log_offset", 3}};
   const CliResult result = world.RunJson({"targets", "drain", "khata-1", "--reason", "fan"});
   CHECK(result.status == 0);
   CHECK(result.Json()["in_force_on"] == 1);
@@ -405,10 +407,14 @@
 TEST_CASE("pages of the instances") {
   ClientWorld world;
   const std::string path = "/-/owners?service=khata&key=a%2Fb%20c";
-  world.instances->pages["howrah-1 " + path] = {{"owner", "khata-1"}, {"note", "\x1b[2J"}};
+  world.instances->pages["howrah-1 " + path] = {
+      {"owner", "khata-1"},
+      {"note", "\x1b[2J"},
+      {"delegation", {{"members", {{{"n", 1}}, {{"n", 2}}}}}}};
   const CliResult table = world.Run({"owners", "a/b c", "--service", "khata"});
   CHECK(table.status == 0);
   CHECK(table.out.find("khata-1") != std::string::npos);
+  CHECK(table.out.find("delegation.members") != std::string::npos);
   // Text of others must not act on the operator's terminal.
   CHECK(table.out.find('\x1b') == std::string::npos);
   CHECK(table.err.find("barasat-1: connection refused") != std::string::npos);
