Give the test case of the secret store a name of its own

Cause: two files of one test binary had a test case called 'secrets', which ends the whole binary. Change: the name.

--- a/tests/core/unit-secrets.cpp
+++ b/tests/core/unit-secrets.cpp
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-TEST_CASE("secrets") {
+TEST_CASE("secret store") {
   SecretSettings settings;
   settings.cache_key = {1, 2};
   settings.cache_size = 4;
