Keep refused connections open until the caller has its answer

The test of the connection limit failed in 2 of 4 runs on a busy machine: the close of a refused connection with unread input made the kernel send a reset, which discarded the 503.

--- a/packages/gateway/src/http_entry.cc
+++ b/packages/gateway/src/http_entry.cc
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <mutex>
 #include <set>
 #include <sstream>
@@ -312,12 +313,20 @@
       // The answer fits the send buffer of a new connection, so this does not block.
       socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
       socket.shutdownSend();
-    } catch (const Poco::Exception&) {  // NOLINT(bugprone-empty-catch)
-      // The caller has left.
+    } catch (const Poco::Exception&) {
+      return;  // The caller has left.
     }
+    // A close with unread input makes the kernel send a reset, which discards the answer at the
+    // caller. So the socket is closed only when later refusals push it out.
+    refused_.push_back(std::move(socket));
+    if (refused_.size() > kMaxRefusedSockets) refused_.pop_front();
   }
 
+  static constexpr std::size_t kMaxRefusedSockets = 64;
+
   Shared& shared_;
+  /// Used by the accepting thread only.
+  std::deque<StreamSocket> refused_;
 };
 
 Poco::Net::ServerSocket Bind(const EntrySettings& settings) {
--- a/tests/daemon/unit-processes.cpp
+++ b/tests/daemon/unit-processes.cpp
@@ -12,13 +12,13 @@
 namespace {
 
 using nlohmann::json;
-using standin::HttpTarget;
-using standin::LogServer;
-using standin::TargetBehaviour;
 using standin::Await;
 using standin::Call;
 using standin::HttpAnswer;
+using standin::HttpTarget;
+using standin::LogServer;
 using standin::Process;
+using standin::TargetBehaviour;
 
 constexpr const char* kSalt = "00112233445566778899aabbccddeeff";
 constexpr const char* kSecret = "k1.of-the-hospital";
--- a/tools/measure/daemon.cc
+++ b/tools/measure/daemon.cc
@@ -144,8 +144,8 @@
         {"exceptions", json::array()}};
     HttpLogSettings settings;
     settings.port = log_.port();
-    HttpLogService(settings).Append({EncodeRecord(
-        {InstanceId{1}, Incarnation{1}, 1, "operator", "measurement", 0, ConfigChange{0, document}})});
+    HttpLogService(settings).Append({EncodeRecord({InstanceId{1}, Incarnation{1}, 1, "operator",
+                                                   "measurement", 0, ConfigChange{0, document}})});
   }
 
   standin::TemporaryDirectory dir_;
@@ -195,10 +195,9 @@
 
 /// Runs `kCallers` callers; `rate` is their total request rate, 0 for as fast as answers come.
 LoadResult RunLoad(std::uint16_t port, double rate) {
-  const Clock::duration interval =
-      rate == 0 ? Clock::duration::zero()
-                : std::chrono::duration_cast<Clock::duration>(
-                      std::chrono::duration<double>(kCallers / rate));
+  const Clock::duration interval = rate == 0 ? Clock::duration::zero()
+                                             : std::chrono::duration_cast<Clock::duration>(
+                                                   std::chrono::duration<double>(kCallers / rate));
   const Clock::time_point start = Clock::now();
   LoadResult out;
   std::mutex mutex;
@@ -256,8 +255,8 @@
   report.Add({"7.rest.cpu", (after.cpu_s - before.cpu_s) / seconds * 100, "% of a core", 1.5,
               Relation::kAtMost, std::nullopt, seed});
   report.Add({"7.rest.memory", after.memory_mb, "MB", 32, Relation::kAtMost, std::nullopt, seed});
-  report.Add({"7.rest.sent", bytes / seconds / 1000, "KB/s", 13, Relation::kAtMost, std::nullopt,
-              seed});
+  report.Add(
+      {"7.rest.sent", bytes / seconds / 1000, "KB/s", 13, Relation::kAtMost, std::nullopt, seed});
 }
 
 /// Idle connections of callers, each with POCO's thread. The targets state the design's limits on
@@ -275,16 +274,15 @@
   for (int i = 0; i < kManyConnections; ++i) {
     sockets.emplace_back(Poco::Net::SocketAddress("127.0.0.1", port));
   }
-  const bool open = standin::Await([&] {
-    return fleet.Metric(2, "dogwood_open_connections") >= kManyConnections;
-  });
+  const bool open = standin::Await(
+      [&] { return fleet.Metric(2, "dogwood_open_connections") >= kManyConnections; });
   const Usage after = UsageOf(fleet.daemon_pid(2));
   if (!open) return;
   report.Add({"7.connections_4800.threads", after.threads - before.threads, "threads",
               kManyConnections, Relation::kAtMost, std::nullopt, seed});
   report.Add({"7.connections_4800.memory_each",
-              (after.memory_mb - before.memory_mb) * 1024 / kManyConnections, "KB", 32 * 1024.0 / kManyConnections,
-              Relation::kAtMost, std::nullopt, seed});
+              (after.memory_mb - before.memory_mb) * 1024 / kManyConnections, "KB",
+              32 * 1024.0 / kManyConnections, Relation::kAtMost, std::nullopt, seed});
 }
 
 void MeasureDaemon(std::uint64_t seed, Report& report) {
