Delay the acknowledgement of a move until requests at the old owner have ended; let refused orders be sent again

Cause: (1) the specification's variant exposure-thread-paused showed two owners when an instance acknowledges a prepare between the permit check and the end of the request; the daemon checks under its mutex and writes after it. (2) An order that its target refused was stored as an outcome and replayed for 10 minutes as one that ran. (3) The default limit of mesh messages failed the daemon's own check. Change: OwnedRequests counts requests under way for each assignment, and acknowledgements stop before a change of a shard in use until its requests were answered or their deadline passed; Orders::OnNotRun; default of 16 MiB. Conclusion: the wait of the coordinator covers running requests, bounded by the permit duration as before.

--- a/packages/core/include/dogwoodport/core/order_messages.h
+++ b/packages/core/include/dogwoodport/core/order_messages.h
@@ -39,7 +39,7 @@
 enum class OrderState : std::uint8_t {
   kIntent,   ///< recorded; bytes may have left
   kUnknown,  ///< bytes may have left and no answer came
-  kNotRun,   ///< no byte left; another attempt is allowed
+  kNotRun,   ///< no byte left, or the target refused; another attempt is allowed
   kDone      ///< the target answered
 };
 
--- a/packages/core/include/dogwoodport/core/orders.h
+++ b/packages/core/include/dogwoodport/core/orders.h
@@ -177,6 +177,9 @@
   /// The gateway gave up before the first byte.
   void OnNotSent(TimePoint now, std::uint64_t request, Outbox& out);
 
+  /// The target answered that it did not run the order; another attempt is allowed.
+  void OnNotRun(TimePoint now, std::uint64_t request, Outbox& out);
+
   /// Starts a planned transfer: new orders are refused, and once none is in flight the records are
   /// handed to the authorities under `destination(scope)`; nothing keeps the record here.
   void BeginTransfer(TimePoint now,
--- a/packages/core/include/dogwoodport/core/ownership.h
+++ b/packages/core/include/dogwoodport/core/ownership.h
@@ -135,6 +135,12 @@
   /// before the write with the time of the write. Complexity: as `FindOwner`.
   bool MayWrite(TimePoint now, const LocalOwner& owner) const noexcept;
 
+  /// The request is being written: a move of its shard is acknowledged only after it has ended.
+  void OnRequestStarted(const LocalOwner& owner);
+
+  /// The request no longer runs from `until` on; see `OwnedRequests::End`.
+  void OnRequestEnded(const LocalOwner& owner, TimePoint until);
+
   /// Counts a request for the detection of hot keys and of imbalance.
   void CountRequest(ServiceId service, std::uint64_t key_hash, ShardId shard);
 
--- a/packages/core/include/dogwoodport/core/permit.h
+++ b/packages/core/include/dogwoodport/core/permit.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "dogwoodport/core/message.h"
+#include "dogwoodport/core/owned_requests.h"
 #include "dogwoodport/core/ownership_settings.h"
 #include "dogwoodport/core/shard_map.h"
 
@@ -54,6 +55,12 @@
     return delegations_.empty() ? nullptr : &delegations_.back();
   }
 
+  /// Sequence of the table that the instance may acknowledge; see `OwnedRequests`.
+  Epoch Applied(TimePoint now) { return requests_.Acknowledged(now, table_); }
+
+  /// Requests of this instance that run at owners.
+  OwnedRequests& requests() noexcept { return requests_; }
+
   ShardMap& table() noexcept { return table_; }
   const ShardMap& table() const noexcept { return table_; }
 
@@ -80,6 +87,7 @@
   /// Sorted by offset; those older than the last one that acknowledged are dropped.
   std::vector<Delegation> delegations_;
   ShardMap table_;
+  OwnedRequests requests_;
   std::deque<Round> rounds_;
   std::uint64_t next_request_ = 1;
   TimePoint next_renewal_{};
--- a/packages/core/src/orders.cc
+++ b/packages/core/src/orders.cc
@@ -468,6 +468,10 @@
   Abort(now, request, OrderRefusal::kNotSent, out);
 }
 
+void Orders::OnNotRun(TimePoint now, std::uint64_t request, Outbox& out) {
+  Abort(now, request, OrderRefusal::kNotSent, out);
+}
+
 void Orders::Finish(TimePoint now, std::uint64_t request, OrderState state, std::uint16_t status,
                     std::string answer, Outbox& out) {
   const auto it = flights_.find(request);
--- a/packages/core/src/ownership.cc
+++ b/packages/core/src/ownership.cc
@@ -116,7 +116,7 @@
     if (recorded > permit_.table().sequence()) {
       permit_.InstallTable(recorded, group.table().Export());
     }
-    ack.applied = permit_.table().sequence();
+    ack.applied = permit_.Applied(now);
   }
   if (ack.recorded != Epoch{}) ack.holders = group.Holders(now);
   out.Send(to, std::move(ack));
@@ -278,6 +278,14 @@
   return MayServe(now, owner.shard, entry->key_hash);
 }
 
+void Ownership::OnRequestStarted(const LocalOwner& owner) {
+  permit_.requests().Start(owner.shard, owner.epoch);
+}
+
+void Ownership::OnRequestEnded(const LocalOwner& owner, TimePoint until) {
+  permit_.requests().End(owner.shard, owner.epoch, until);
+}
+
 void Ownership::CountRequest(ServiceId service, std::uint64_t key_hash, ShardId shard) {
   ServiceCounts& counts = counts_[service];
   counts.keys.Add(key_hash);
--- a/packages/core/src/permit.cc
+++ b/packages/core/src/permit.cc
@@ -40,7 +40,7 @@
 
 void Permit::RequestRenewal(TimePoint now, Outbox& out) {
   RenewRequest request{data_centre_, incarnation_, next_request_++, delegations_.back().offset,
-                       table_.sequence()};
+                       Applied(now)};
   rounds_.push_back(Round{request.request, now, {}});
   if (rounds_.size() > kMaxRounds) rounds_.pop_front();
   std::vector<InstanceId> receivers;
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -172,6 +172,7 @@
       p->first_byte_asked = true;
       if (!OrdersHere().OnFirstByte(now, handle, outbox_)) return false;
     }
+    if (p->owner) systems_.ownership.OnRequestStarted(*p->owner);
     systems_.routing.OnRequestStarted(now, p->routing_attempt);
     systems_.quarantine.OnSent(p->fingerprint, p->target);
     p->sent = true;
@@ -184,6 +185,11 @@
     if (p == nullptr || p->attempts != attempt) return Finish{};
     p->attempt_running = false;
     const ServiceId service = p->match.service->id;
+    if (p->owner && p->sent) {
+      // Without an answer the target may run the request until the deadline that it was told.
+      const bool answered = std::holds_alternative<TargetAnswered>(outcome);
+      systems_.ownership.OnRequestEnded(*p->owner, answered ? now : p->attempt_deadline);
+    }
     Step step = std::holds_alternative<TargetAnswered>(outcome)
                     ? OnAnswered(now, *p, std::get<TargetAnswered>(std::move(outcome)))
                     : OnFailed(now, *p, std::get<TargetFailed>(outcome));
@@ -397,7 +403,7 @@
       return End(p, 429, "rate_limit", "the client account is over its rate", RunState::kNo,
                  std::max(refused.retry_after, Duration(1)));
     }
-    return End(p, 503, Name(refused.reason), "the request can't be admitted", RunState::kNo,
+    return End(p, 503, std::string(ToString(refused.reason)), "the request can't be admitted", RunState::kNo,
                std::max(refused.retry_after, kRetryAfter));
   }
 
@@ -570,7 +576,10 @@
     systems_.routing.OnRequestFinished(now, p.routing_attempt, {outcome});
     systems_.quarantine.OnFinished(now, p.fingerprint, p.target, true, outbox_);
     systems_.ownership.OnTargetReport(now, {p.target, true});
-    if (p.order) {
+    if (p.order && run == RunState::kNo) {
+      // A refusal is no outcome: the caller may send the order again under the same key.
+      OrdersHere().OnNotRun(now, p.handle, outbox_);
+    } else if (p.order) {
       OrdersHere().OnAnswer(now, p.handle, status, EncodeAnswer(answered.answer), outbox_);
     } else if (run == RunState::kNo && (shed || status == 409) && MayRetry(now, p)) {
       return Place(now, p);
--- a/packages/daemon/include/dogwoodport/daemon/settings.h
+++ b/packages/daemon/include/dogwoodport/daemon/settings.h
@@ -57,7 +57,7 @@
 
 struct MeshListenSettings {
   std::string listen = "127.0.0.1:0";
-  std::size_t max_message_bytes = std::size_t{8} << 20U;
+  std::size_t max_message_bytes = std::size_t{16} << 20U;
   std::vector<PeerSettings> peers;
 };
 
--- a/packages/mesh/include/dogwoodport/mesh/mesh.h
+++ b/packages/mesh/include/dogwoodport/mesh/mesh.h
@@ -29,7 +29,7 @@
   std::string listen;
   std::vector<MeshPeer> peers;
   /// Largest message that is sent or accepted, in bytes.
-  std::size_t max_message_bytes = std::size_t{8} << 20U;
+  std::size_t max_message_bytes = std::size_t{16} << 20U;
   /// Messages that wait for one peer before further ones are dropped.
   int queue_length = 1024;
 };
--- /dev/null
+++ b/tests/core/unit-router.cpp
@@ -0,0 +1,173 @@
+#include <catch2/catch.hpp>
+#include <functional>
+
+#include "dogwoodport/core/router.h"
+#include "dogwoodport/platform/memory_log_service.h"
+
+namespace dogwoodport {
+namespace {
+
+constexpr Duration kTick{10'000};
+constexpr Duration kSecond{1'000'000};
+
+const char* const kConfig = R"({
+  "data_centres": [{"name": "howrah"}],
+  "services": [{"name": "farmaish"}, {"name": "khata", "keyed": true, "shards": 8}],
+  "routes": [
+    {"name": "orders", "path_prefix": "/farmaish", "service": "farmaish", "repeatable": false},
+    {"name": "ledger", "path_prefix": "/khata", "service": "khata",
+     "key": {"in": "path", "segment": 1}}],
+  "accounts": [{"name": "shop", "rate": 1000, "burst": 1000, "secrets": [
+    {"key_id": "k1", "salt": "a0b1c2d3e4f5a6b7", "hash": "HASH"}]}],
+  "targets": [
+    {"name": "farmaish-1", "service": "farmaish", "data_centre": "howrah", "host": "127.0.0.1",
+     "port": 7001},
+    {"name": "khata-1", "service": "khata", "data_centre": "howrah", "host": "127.0.0.1",
+     "port": 7002}],
+  "defaults": {"rate": 100, "burst": 200, "weight": 1}
+})";
+
+constexpr char kSecret[] = "k1.5f0e9a7c";
+
+/// One instance with its log in memory; targets answer probes and grants at once.
+class Fixture {
+ public:
+  Fixture() : router_(MakeSettings(), now_) {
+    std::string text = kConfig;
+    const std::string hash = HashSecret("a0b1c2d3e4f5a6b7", kSecret);
+    text.replace(text.find("HASH"), 4, hash);
+    Record record;
+    record.writer = "operator";
+    record.incarnation = 1;
+    record.sequence = 1;
+    record.actor = "test";
+    record.reason = "first configuration";
+    record.body = ConfigChange{0, nlohmann::json::parse(text)};
+    log_.Append({EncodeRecord(record)});
+    RunUntil([this] { return router_.Ready(now_); });
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    for (int i = 0; i < 2'000 && !done(); ++i) Advance(kTick);
+    REQUIRE(done());
+  }
+
+  void Advance(Duration step) {
+    now_ += step;
+    router_.Tick(now_, 1'700'000'000'000 + now_.time_since_epoch().count() / 1'000);
+    RouterWork work = router_.TakeWork();
+    for (const LogRequest& request : work.log) ServeLog(request);
+    for (const ProbeTarget& probe : work.probes) {
+      HealthReport health;
+      health.reachable = true;
+      health.boot = 1;
+      router_.OnHealth(now_, probe.target, health);
+    }
+    for (const SendGrants& grants : work.grants) {
+      router_.OnGrantReply(now_, {grants.request.target, grants.request.request, "boot",
+                                  now_.time_since_epoch().count() / 1'000});
+    }
+  }
+
+  /// Sends an order and runs until it may be written to its target.
+  SendToTarget StartOrder(const std::string& key) {
+    IncomingRequest in;
+    in.request_id = "r-" + std::to_string(++requests_);
+    in.request.method = "POST";
+    in.request.uri = "/farmaish/ferrule";
+    in.request.fields = {{"Authorization", std::string("Bearer ") + kSecret},
+                         {"Idempotency-Key", key}};
+    handle_ = 0;
+    return WaitForSend(router_.OnRequest(now_, in, handle_));
+  }
+
+  SendToTarget WaitForSend(Step step) {
+    if (const auto* send = std::get_if<SendToTarget>(&step)) return *send;
+    REQUIRE(std::holds_alternative<WaitForStep>(step));
+    return std::get<SendToTarget>(NextStep());
+  }
+
+  Step NextStep() {
+    std::vector<ReadyStep> ready = router_.TakeReady();
+    for (int i = 0; i < 500 && ready.empty(); ++i) {
+      Advance(kTick);
+      ready = router_.TakeReady();
+    }
+    REQUIRE(ready.size() == 1);
+    return ready.front().step;
+  }
+
+  Reply Answer(const SendToTarget& send, std::uint16_t status, const std::string& run) {
+    REQUIRE(router_.MaySend(now_, send.handle, send.attempt));
+    TargetAnswered answered;
+    answered.answer.status = status;
+    answered.answer.fields = {{"Dogwood-Run", run}};
+    const Step step = router_.OnAttempt(now_, send.handle, send.attempt, answered);
+    return std::get<Finish>(step).reply;
+  }
+
+  Router& router() { return router_; }
+  TimePoint now() const { return now_; }
+
+ private:
+  static RouterSettings MakeSettings() {
+    RouterSettings settings;
+    settings.instance = "howrah-1";
+    settings.data_centre = "howrah";
+    settings.self = InstanceId::FromName("howrah-1");
+    settings.incarnation = Incarnation{1};
+    settings.own_data_centre = DataCentreId::FromName("howrah");
+    return settings;
+  }
+
+  void ServeLog(const LogRequest& request) {
+    if (const auto* read = std::get_if<LogRead>(&request)) {
+      router_.OnLogRead(now_, read->id, log_.Read(read->from, read->max));
+    } else {
+      const auto& append = std::get<LogAppend>(request);
+      log_.Append(append.records);
+      router_.OnLogAppended(now_, append.id);
+    }
+  }
+
+  TimePoint now_{kSecond};
+  MemoryLogService log_;
+  Router router_;
+  RequestHandle handle_ = 0;
+  int requests_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("orders through the router of a single instance") {
+  Fixture f;
+
+  SECTION("a caller that sends an order again gets the stored outcome") {
+    const SendToTarget send = f.StartOrder("a");
+    CHECK(f.Answer(send, 201, "yes").run == RunState::kYes);
+    IncomingRequest again;
+    again.request_id = "again";
+    again.request = *send.request;
+    again.request.fields.push_back({"Authorization", std::string("Bearer ") + kSecret});
+    RequestHandle handle = 0;
+    Step step = f.router().OnRequest(f.now(), again, handle);
+    if (!std::holds_alternative<Finish>(step)) step = f.NextStep();
+    CHECK(std::get<Finish>(step).reply.answer.status == 201);
+  }
+  SECTION("a target's refusal is passed on as not run and is no outcome") {
+    // Guards against a refusal that is stored and replayed as an answer of an order that ran.
+    const SendToTarget send = f.StartOrder("b");
+    CHECK(f.Answer(send, 503, "no").run == RunState::kNo);
+    f.Advance(2 * kSecond);
+    f.RunUntil([&] { return f.router().Ready(f.now()); });
+    const SendToTarget again = f.StartOrder("b");
+    CHECK(f.Answer(again, 201, "yes").run == RunState::kYes);
+  }
+  SECTION("the caller's secret never reaches a target") {
+    const SendToTarget send = f.StartOrder("c");
+    CHECK(FindField(send.request->fields, "Authorization") == nullptr);
+    CHECK(FindField(send.fields, "Authorization") == nullptr);
+  }
+}
+
+}  // namespace dogwoodport
