--- a/standin/include/dogwoodport/standin/limit_fleet.h
+++ b/standin/include/dogwoodport/standin/limit_fleet.h
@@ -85,7 +85,7 @@
   std::uint64_t refused = 0;
   /// Admitted by a single bucket for the whole fleet.
   std::uint64_t reference_admitted = 0;
-  /// LimitRefused although the single bucket admitted the request.
+  /// Refused although the single bucket admitted the request.
   std::uint64_t wrongful = 0;
 };
 
@@ -224,8 +224,9 @@
     config.version = old.version + 1;
     config_ = config;
     for (const AccountConfig& account : config.accounts) SetChecker(account, old);
-    for (auto& node : nodes_)
+    for (auto& node : nodes_) {
       Learn(*node, [this, n = node.get(), config] { n->limits->OnConfig(now_, config); });
+    }
     const auto settled = [this, version = config.version] {
       if (version != config_.version) return;
       for (const AccountConfig& account : config_.accounts) {
@@ -296,8 +297,9 @@
       return;
     }
     Outbox out;
-    if (const auto* r = std::get_if<LoanRequest>(&message))
+    if (const auto* r = std::get_if<LoanRequest>(&message)) {
       node.limits->OnMessage(at, from, *r, out);
+    }
     if (const auto* g = std::get_if<LoanGrant>(&message)) node.limits->OnMessage(at, from, *g, out);
     bus_.Send(at, node.id, out);
     TakeDecisions(node);
@@ -336,7 +338,7 @@
   }
 
   /// Runs `event` at the node after its lag, or when its partition ends.
-  void Learn(Node& node, std::function<void()> event) {
+  void Learn(Node& node, const std::function<void()>& event) {
     control_.emplace(now_ + Lag(), [this, &node, event] {
       if (isolated_zone_ == node.zone) {
         deferred_.push_back(event);
--- a/standin/include/dogwoodport/standin/order_fleet.h
+++ b/standin/include/dogwoodport/standin/order_fleet.h
@@ -64,8 +64,8 @@
   /// Called after each step of each order; may disturb the fleet.
   using Hook = std::function<void(OrderFleet& fleet, OrderStep step, std::size_t instance)>;
 
-  explicit OrderFleet(OrderFleetSettings settings)
-      : settings_(std::move(settings)),
+  explicit OrderFleet(const OrderFleetSettings& settings)
+      : settings_(settings),
         bus_(settings_.links, settings_.seed ^ 0x2545f491),
         random_(settings_.seed) {
     for (std::uint32_t i = 0; i < settings_.instances; ++i) AddNode(i);
@@ -125,11 +125,12 @@
     bus_.Detach(nodes_[i]->id);
     std::erase(members_, i);
     Delegate(settings_.detection);
-    if (replaced)
+    if (replaced) {
       After(*replaced, [this, name = nodes_[i]->name] {
         AddNode(name);
         Delegate(Duration{500'000});
       });
+    }
   }
 
   /// Takes instance `i` out of the group although it keeps running and connected.
@@ -201,7 +202,7 @@
   }
 
   /// Runs `event` at the node when it is running; drops it if the process is gone.
-  void AtNode(Node& node, std::function<void()> event) {
+  void AtNode(Node& node, const std::function<void()>& event) {
     if (!node.alive) return;
     if (now_ < node.paused_until) {
       node.backlog.push_back([this, &node, event] { AtNode(node, event); });
--- a/tools/measure/limits.cc
+++ b/tools/measure/limits.cc
@@ -256,13 +256,13 @@
               seed});
 }
 
-const Registration kLimits("limits", [](std::uint64_t seed, Report& report) {
+const Registration limits_part("limits", [](std::uint64_t seed, Report& report) {
   MeasureAccounts(seed, report);
   MeasureAdmission(seed, report);
   MeasureSecrets(seed, report);
 });
 
-const Registration kSlopes("limits-slope", [](std::uint64_t seed, Report& report) {
+const Registration slopes_part("limits-slope", [](std::uint64_t seed, Report& report) {
   for (const auto& [nodes, accounts] :
        {std::pair{90U, 8U}, {900U, 8U}, {7'900U, 8U}, {900U, 64U}, {900U, 256U}}) {
     MeasureSlope(nodes, accounts, seed, report);
--- a/tools/measure/orders.cc
+++ b/tools/measure/orders.cc
@@ -95,7 +95,7 @@
       Share(majority.counts.gave_up, sent));
 }
 
-const Registration kOrders("orders", [](std::uint64_t seed, Report& report) {
+const Registration orders_part("orders", [](std::uint64_t seed, Report& report) {
   MeasureFleet("hooghly", 3, seed, report);
   MeasureFleet("armor", 4, seed, report);
 });
--- a/tools/replay/limits.cc
+++ b/tools/replay/limits.cc
@@ -128,7 +128,7 @@
   std::vector<Flow> flows_;
 };
 
-const Registration kLimits("limits", [](const Trace& trace) {
+const Registration limits_replayer("limits", [](const Trace& trace) {
   LimitReplay replay(trace.header);
   for (const auto& event : trace.events) replay.Apply(event);
   return replay.Compare(trace.header.at("outcome"));
--- a/tools/replay/orders.cc
+++ b/tools/replay/orders.cc
@@ -80,7 +80,7 @@
   return differences;
 }
 
-const Registration kOrders("orders", [](const Trace& trace) {
+const Registration orders_replayer("orders", [](const Trace& trace) {
   OrderFleet fleet(Settings(trace.header));
   const TimePoint start = fleet.now();
   for (const auto& event : trace.events) {
