Fix the linter's findings in the routing tools and the fleet model

Cause: the linter asks for braces, for append instead of string sums, and for lower-case names of variables that are not constexpr. Change: names and statements only.

--- a/standin/src/fleet_model.cc
+++ b/standin/src/fleet_model.cc
@@ -523,8 +523,9 @@
     msgpack::sbuffer buf;
     std::visit(
         [&](const auto& m) {
-          if constexpr (!std::is_same_v<std::decay_t<decltype(m)>, std::monostate>)
+          if constexpr (!std::is_same_v<std::decay_t<decltype(m)>, std::monostate>) {
             msgpack::pack(buf, m);
+          }
         },
         envelope.message);
     result_.message_bytes += buf.size();
--- a/tools/measure/routing.cc
+++ b/tools/measure/routing.cc
@@ -79,7 +79,8 @@
   PrintRun(fleet.name + " slowed", slow);
   PrintRun(fleet.name + " round_robin", turn);
   PrintRun(fleet.name + " least_in_flight", least);
-  const std::string id = "3." + fleet.name + ".";
+  std::string id = "3.";
+  id.append(fleet.name).append(".");
   const auto add = [&](const std::string& name, std::vector<float> FleetResult::*values,
                        double quantile) {
     const double unslowed = Q(base.*values, quantile);
@@ -238,13 +239,9 @@
     const std::string size = std::to_string(n);
     // 1.5% of a core is 150 us of each tick of 10 ms; 13 KB/s are 130 bytes per tick.
     const auto add = [&](const std::string& name, double value, const char* unit, double target) {
-      report.Add({"8.slope.routing." + name + "." + size,
-                  value,
-                  unit,
-                  target,
-                  Relation::kAtMost,
-                  {},
-                  seed});
+      std::string id = "8.slope.routing.";
+      id.append(name).append(".").append(size);
+      report.Add({id, value, unit, target, Relation::kAtMost, {}, seed});
     };
     add("tick_us.targets", by_targets.us, "us", 150);
     add("tick_bytes.targets", by_targets.bytes, "bytes", 130);
@@ -262,7 +259,7 @@
   MeasureSlopes(seed, report);
 }
 
-const Registration kRegistration("routing", MeasureRouting);
+const Registration registration("routing", MeasureRouting);
 
 }  // namespace
 }  // namespace dogwoodport::measure
--- a/tools/replay/routing.cc
+++ b/tools/replay/routing.cc
@@ -9,11 +9,11 @@
 
 using nlohmann::json;
 
-const DataCentreId kHere = DataCentreId::FromName("here");
-const DataCentreId kThere = DataCentreId::FromName("there");
-const InstanceId kSelf = InstanceId::FromName("self");
-const InstanceId kOther = InstanceId::FromName("other");
-const ServiceId kService = ServiceId::FromName("service");
+const DataCentreId here_id = DataCentreId::FromName("here");
+const DataCentreId there_id = DataCentreId::FromName("there");
+const InstanceId self_id = InstanceId::FromName("self");
+const InstanceId other_id = InstanceId::FromName("other");
+const ServiceId service_id = ServiceId::FromName("service");
 constexpr Duration kTick{10'000};
 
 /// Replays the events of one instance that is alone in its data centre. Events: setup, choose,
@@ -64,28 +64,28 @@
 
   void SetUp(const json& event) {
     Config config;
-    config.data_centres = {{kHere, "here", 0.5}, {kThere, "there", 0.5}};
-    config.services.push_back({.id = kService, .name = "service"});
+    config.data_centres = {{here_id, "here", 0.5}, {there_id, "there", 0.5}};
+    config.services.push_back({.id = service_id, .name = "service"});
     for (const json& name : event.at("targets")) {
       TargetConfig target{.id = TargetId::FromName(name.get<std::string>())};
       target.name = name.get<std::string>();
-      target.service = kService;
-      target.data_centre = kHere;
+      target.service = service_id;
+      target.data_centre = here_id;
       target.slots = event.at("slots").get<std::uint32_t>();
       config.targets.push_back(target);
     }
     routing_.emplace(
-        RoutingSettings{.self = kSelf, .incarnation = Incarnation{1}, .data_centre = kHere});
+        RoutingSettings{.self = self_id, .incarnation = Incarnation{1}, .data_centre = here_id});
     routing_->OnConfig(now_, config);
-    routing_->OnDelegation(now_, {kHere, 1, {{kSelf, Incarnation{1}}}, kSelf},
+    routing_->OnDelegation(now_, {here_id, 1, {{self_id, Incarnation{1}}}, self_id},
                            DelegationHistory::kFirst);
-    routing_->OnDelegation(now_, {kThere, 2, {{kOther, Incarnation{1}}}, kOther},
+    routing_->OnDelegation(now_, {there_id, 2, {{other_id, Incarnation{1}}}, other_id},
                            DelegationHistory::kFirst);
   }
 
   void Choose(const json& event) {
     const std::string name = event.at("as").get<std::string>();
-    RouteRequest request{.service = kService, .repeatable = true, .arrived = now_};
+    RouteRequest request{.service = service_id, .repeatable = true, .arrived = now_};
     request.deadline = now_ + Duration{5'000'000};
     if (event.contains("owner")) {
       request.owner = TargetId::FromName(event.at("owner").get<std::string>());
@@ -106,12 +106,11 @@
   }
 
   void Health(const json& event, TargetId target) {
-    static const std::map<std::string, HealthState> kStates = {
-        {"ready", HealthState::kReady},
-        {"cold", HealthState::kCold},
-        {"draining", HealthState::kDraining}};
+    static const std::map<std::string, HealthState> states = {{"ready", HealthState::kReady},
+                                                              {"cold", HealthState::kCold},
+                                                              {"draining", HealthState::kDraining}};
     HealthReport report{.reachable = event.value("reachable", true)};
-    report.state = kStates.at(event.value("state", "ready"));
+    report.state = states.at(event.value("state", "ready"));
     report.boot = event.value("boot", 1U);
     report.latency = Duration{event.value("latency_ms", 6) * 1'000};
     routing_->OnHealth(now_, target, report, out_);
@@ -136,13 +135,13 @@
     } else if (kind == "draining") {
       routing_->OnTargetState(now_, target, event.at("value").get<bool>());
     } else if (kind == "data_centre") {
-      routing_->OnDataCentreState(now_, kHere, event.at("in_service").get<bool>());
+      routing_->OnDataCentreState(now_, here_id, event.at("in_service").get<bool>());
     } else if (kind == "load") {
-      const DataCentreLoad load{kThere,
+      const DataCentreLoad load{there_id,
                                 2'000,
-                                {{kService, event.at("usable_slots").get<std::uint32_t>(),
+                                {{service_id, event.at("usable_slots").get<std::uint32_t>(),
                                   event.at("in_flight").get<std::uint32_t>(), 0}}};
-      routing_->OnMessage(now_, kOther, load, out_);
+      routing_->OnMessage(now_, other_id, load, out_);
     } else {
       differences_.push_back("unknown event " + kind);
     }
@@ -157,7 +156,7 @@
   std::vector<std::string> differences_;
 };
 
-const Registration kRegistration("routing", [](const Trace& trace) { return Replay(trace).Run(); });
+const Registration registration("routing", [](const Trace& trace) { return Replay(trace).Run(); });
 
 }  // namespace
 }  // namespace dogwoodport::replay
