Rename a test whose name two files used and drop a GCC flag for clang-tidy

Cause: after the merge, two files of one binary had a test case called 'secrets', so that none of its tests ran, and clang-tidy 14 rejects -Wno-restrict. Change: the test of the fold is renamed; the linter's flags leave the option out. Conclusion: the merged core tests run again.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,7 +9,7 @@
 mkdir -p "$stamps"
 # clang cannot read the precompiled header of GCC, so the linter includes its source instead.
 mkdir -p "$build/lint-db"
-sed -E "s#-include [^ ]*cmake_pch.hxx#-include $PWD/cmake/pch.h#; s#-fpch-preprocess|-Winvalid-pch##g" \
+sed -E "s#-include [^ ]*cmake_pch.hxx#-include $PWD/cmake/pch.h#; s#-fpch-preprocess|-Winvalid-pch|-Wno-restrict##g" \
   "$build/compile_commands.json" >"$build/lint-db/compile_commands.json"
 lint_one() {
   local file=$1 key
--- a/tests/core/unit-control_state.cpp
+++ b/tests/core/unit-control_state.cpp
@@ -157,7 +157,7 @@
   CHECK(fold.Apply(ConfigPatch{2, 7}).outcome == ApplyOutcome::kRefused);
 }
 
-TEST_CASE("secrets") {
+TEST_CASE("added and withdrawn secrets") {
   Fold fold;
   REQUIRE(fold.Apply(SecretChange{"puja", 0, SecretAction::kAdd, Secret("k2")}).outcome ==
           ApplyOutcome::kApplied);
