Recover a data centre of which every group member has restarted

Cause: a takeover waits for a majority of the earlier group; when those members restarted at once, nobody could ever answer, and the router never became ready again. Nothing called OnGroupLost and OnRecordsLost. Change: a takeover that stalls for 3 s examines the earlier groups; one of which too few members still run, by their incarnations or by an operator's declaration, is taken for lost. Orders then need proof of freshness for the window. Conclusion: the wait for expired permits stays in force, so sole ownership does not depend on the detection being timely.

--- a/packages/core/include/dogwoodport/core/detail/systems.h
+++ b/packages/core/include/dogwoodport/core/detail/systems.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,8 @@
   void SubmitQuarantine();
   void Propose(TimePoint now);
   void SharePermit(TimePoint now);
+  void RecoverLostGroups(TimePoint now, Outbox& out);
+  bool GroupLost(const Delegation& delegation) const;
 
   std::map<DataCentreId, Orders> orders_;
   /// Delegations of each data centre within kOrderWindow, newest first.
@@ -91,6 +94,8 @@
   std::deque<OwnershipRecord> unsubmitted_;
   std::vector<GrantRequest> grants_;
   std::int64_t unix_ms_ = 0;
+  /// Since when a takeover from earlier groups has not finished.
+  std::optional<TimePoint> takeover_since_;
 };
 
 }  // namespace dogwoodport::detail
--- a/packages/core/src/systems.cc
+++ b/packages/core/src/systems.cc
@@ -11,6 +11,9 @@
 constexpr Duration kProbeInterval = kTargetLossTimeout / 4;
 /// Delegations of one data centre that are kept for the collection of orders.
 constexpr std::size_t kMaxHistory = 64;
+/// Time for which a takeover has to stall before earlier groups are examined for lost majorities. A
+/// takeover from running members needs a few round trips.
+constexpr Duration kTakeoverStall{3'000'000};
 
 RoutingSettings MakeRoutingSettings(const InstanceIdentity& self) {
   RoutingSettings out;
@@ -109,6 +112,7 @@
     secrets.OnLogContact(*contact);
   }
   ownership.Tick(now, out);
+  RecoverLostGroups(now, out);
   SharePermit(now);
   routing.Tick(now, out);
   limits.Tick(now, out);
@@ -119,6 +123,43 @@
   SubmitQuarantine();
 }
 
+void Systems::RecoverLostGroups(TimePoint now, Outbox& out) {
+  const auto history = history_.find(settings.self.data_centre);
+  const bool collecting = ownership.coordinator().phase() == CoordinatorPhase::kCollecting;
+  Orders& orders = OrdersOf(settings.self.data_centre);
+  const bool stalled = history != history_.end() && (collecting || !orders.ready());
+  if (!stalled) {
+    takeover_since_.reset();
+    return;
+  }
+  if (!takeover_since_) takeover_since_ = now;
+  if (now < *takeover_since_ + kTakeoverStall) return;
+  takeover_since_ = now;
+  bool lost = false;
+  for (std::size_t i = 1; i < history->second.size(); ++i) {
+    const Delegation& group = history->second[i];
+    if (!GroupLost(group)) continue;
+    lost = true;
+    if (collecting) ownership.OnGroupLost(now, group.offset, out);
+  }
+  if (lost && !orders.ready()) orders.OnRecordsLost(now, unix_ms_, out);
+}
+
+bool Systems::GroupLost(const Delegation& delegation) const {
+  // An operator who declares a data centre lost states that its instances have ended.
+  const DataCentreState state = follower.state().data_centre(delegation.data_centre).state;
+  if (state == DataCentreState::kLost) return true;
+  const auto ended = [this](const Member& m) {
+    if (m.id == settings.self.id) return m.incarnation < settings.self.incarnation;
+    const MemberInfo* info = membership.Find(m.id);
+    return info != nullptr && m.incarnation < info->incarnation;
+  };
+  const auto running =
+      delegation.members.size() - static_cast<std::size_t>(std::count_if(
+                                      delegation.members.begin(), delegation.members.end(), ended));
+  return running < MajorityOf(delegation);
+}
+
 void Systems::SharePermit(TimePoint now) {
   const Delegation* delegation = ownership.delegation();
   if (delegation == nullptr || !ownership.permit().ValidAt(now)) return;
--- a/tests/core/unit-router.cpp
+++ b/tests/core/unit-router.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <functional>
+#include <memory>
 
 #include "dogwoodport/core/router.h"
 #include "dogwoodport/platform/memory_log_service.h"
@@ -32,7 +33,7 @@
 /// One instance with its log in memory; targets answer probes and grants at once.
 class Fixture {
  public:
-  Fixture() : router_(MakeSettings(), now_) {
+  Fixture() : router_(std::make_unique<Router>(MakeSettings(1), now_)) {
     std::string text = kConfig;
     const std::string hash = HashSecret("a0b1c2d3e4f5a6b7", kSecret);
     text.replace(text.find("HASH"), 4, hash);
@@ -44,7 +45,7 @@
     record.reason = "first configuration";
     record.body = ConfigChange{0, nlohmann::json::parse(text)};
     log_.Append({EncodeRecord(record)});
-    RunUntil([this] { return router_.Ready(now_); });
+    RunUntil([this] { return Ready(); });
   }
 
   void RunUntil(const std::function<bool()>& done) {
@@ -54,18 +55,18 @@
 
   void Advance(Duration step) {
     now_ += step;
-    router_.Tick(now_, 1'700'000'000'000 + now_.time_since_epoch().count() / 1'000);
-    RouterWork work = router_.TakeWork();
+    router_->Tick(now_, 1'700'000'000'000 + now_.time_since_epoch().count() / 1'000);
+    RouterWork work = router_->TakeWork();
     for (const LogRequest& request : work.log) ServeLog(request);
     for (const ProbeTarget& probe : work.probes) {
       HealthReport health;
       health.reachable = true;
       health.boot = 1;
-      router_.OnHealth(now_, probe.target, health);
+      router_->OnHealth(now_, probe.target, health);
     }
     for (const SendGrants& grants : work.grants) {
-      router_.OnGrantReply(now_, {grants.request.target, grants.request.request, "boot",
-                                  now_.time_since_epoch().count() / 1'000});
+      router_->OnGrantReply(now_, {grants.request.target, grants.request.request, "boot",
+                                   now_.time_since_epoch().count() / 1'000});
     }
   }
 
@@ -78,7 +79,7 @@
     in.request.fields = {{"Authorization", std::string("Bearer ") + kSecret},
                          {"Idempotency-Key", key}};
     handle_ = 0;
-    return WaitForSend(router_.OnRequest(now_, in, handle_));
+    return WaitForSend(router_->OnRequest(now_, in, handle_));
   }
 
   SendToTarget WaitForSend(Step step) {
@@ -88,51 +89,59 @@
   }
 
   Step NextStep() {
-    std::vector<ReadyStep> ready = router_.TakeReady();
+    std::vector<ReadyStep> ready = router_->TakeReady();
     for (int i = 0; i < 500 && ready.empty(); ++i) {
       Advance(kTick);
-      ready = router_.TakeReady();
+      ready = router_->TakeReady();
     }
     REQUIRE(ready.size() == 1);
     return ready.front().step;
   }
 
   Reply Answer(const SendToTarget& send, std::uint16_t status, const std::string& run) {
-    REQUIRE(router_.MaySend(now_, send.handle, send.attempt));
+    REQUIRE(router_->MaySend(now_, send.handle, send.attempt));
     TargetAnswered answered;
     answered.answer.status = status;
     answered.answer.fields = {{"Dogwood-Run", run}};
-    const Step step = router_.OnAttempt(now_, send.handle, send.attempt, answered);
+    const Step step = router_->OnAttempt(now_, send.handle, send.attempt, answered);
     return std::get<Finish>(step).reply;
   }
 
-  Router& router() { return router_; }
+  /// Ends the process without notice and starts it again: all of its memory is lost.
+  void Restart() {
+    ++incarnation_;
+    router_ = std::make_unique<Router>(MakeSettings(incarnation_), now_);
+  }
+
+  bool Ready() const { return router_->Ready(now_); }
+  Router& router() { return *router_; }
   TimePoint now() const { return now_; }
 
  private:
-  static RouterSettings MakeSettings() {
+  static RouterSettings MakeSettings(std::uint64_t incarnation) {
     RouterSettings settings;
     settings.instance = "howrah-1";
     settings.data_centre = "howrah";
     settings.self = InstanceId::FromName("howrah-1");
-    settings.incarnation = Incarnation{1};
+    settings.incarnation = Incarnation{incarnation};
     settings.own_data_centre = DataCentreId::FromName("howrah");
     return settings;
   }
 
   void ServeLog(const LogRequest& request) {
     if (const auto* read = std::get_if<LogRead>(&request)) {
-      router_.OnLogRead(now_, read->id, log_.Read(read->from, read->max));
+      router_->OnLogRead(now_, read->id, log_.Read(read->from, read->max));
     } else {
       const auto& append = std::get<LogAppend>(request);
       log_.Append(append.records);
-      router_.OnLogAppended(now_, append.id);
+      router_->OnLogAppended(now_, append.id);
     }
   }
 
   TimePoint now_{kSecond};
   MemoryLogService log_;
-  Router router_;
+  std::uint64_t incarnation_ = 1;
+  std::unique_ptr<Router> router_;
   RequestHandle handle_ = 0;
   int requests_ = 0;
 };
@@ -159,7 +168,7 @@
     const SendToTarget send = f.StartOrder("b");
     CHECK(f.Answer(send, 503, "no").run == RunState::kNo);
     f.Advance(2 * kSecond);
-    f.RunUntil([&] { return f.router().Ready(f.now()); });
+    f.RunUntil([&] { return f.Ready(); });
     const SendToTarget again = f.StartOrder("b");
     CHECK(f.Answer(again, 201, "yes").run == RunState::kYes);
   }
@@ -170,4 +179,20 @@
   }
 }
 
+TEST_CASE("a data centre whose only instance restarts serves again") {
+  // Guards against a takeover that waits forever for a group of which no member runs any more.
+  Fixture f;
+  f.Restart();
+  CHECK_FALSE(f.Ready());
+  f.RunUntil([&] { return f.Ready(); });
+  IncomingRequest in;
+  in.request_id = "after";
+  in.request.method = "GET";
+  in.request.uri = "/khata/a";
+  in.request.fields = {{"Authorization", std::string("Bearer ") + kSecret}};
+  RequestHandle handle = 0;
+  const SendToTarget send = f.WaitForSend(f.router().OnRequest(f.now(), in, handle));
+  CHECK(send.target == TargetId::FromName("khata-1"));
+}
+
 }  // namespace dogwoodport
