--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -161,6 +161,9 @@
       systems_.OnMessage(now, from, message, outbox_);
       TakeLimitDecisions(now);
       TakeOrderActions(now);
+      // A request that waits for a lent slot is served at once: the loan is short, and the next
+      // tick may be 10 ms away.
+      if (std::holds_alternative<SlotLoan>(message)) ServeWaiting(now, std::nullopt, /*all=*/true);
     }
   }
 
@@ -486,13 +489,15 @@
 
   /// Tries waiting requests again in the order of their arrival: those that are due, and the first
   /// one of `freed`, a service whose attempt has ended and left a slot.
-  void ServeWaiting(TimePoint now, std::optional<ServiceId> freed = std::nullopt) {
+  /// With `all`, every waiting request is tried.
+  void ServeWaiting(TimePoint now, std::optional<ServiceId> freed = std::nullopt,
+                    bool all = false) {
     std::vector<Parked> list = std::exchange(waiting_, {});
     for (Parked& parked : list) {
       Pending* p = Find(parked.handle);
       if (p == nullptr || !p->waiting) continue;
       const bool first = freed && p->match.service->id == *freed;
-      if (now < parked.retry_at && !first) {
+      if (now < parked.retry_at && !first && !all) {
         waiting_.push_back(parked);
         continue;
       }
