Tell no answers below a millisecond apart when targets are checked for slowdowns

The only target, which answers in 0.1 ms, had been taken for slow after scheduling jitter, and requests for slowed targets wait. Change: the usual latency of a service counts as at least 1 ms. The new test fails with a floor of 1 us.

--- a/packages/core/src/slow_group_detector.cc
+++ b/packages/core/src/slow_group_detector.cc
@@ -6,6 +6,10 @@
 namespace dogwoodport {
 namespace {
 
+/// Answers below this are not told apart: scheduling alone makes one of 0.1 ms five times slower,
+/// and a target taken for slow gets its requests only after a wait.
+constexpr double kMinBaselineUs = 1'000;
+
 // Counts are halved at this number, so that a group that no longer exists is forgotten.
 constexpr std::uint16_t kMaxEvents = 16;
 // A single answer counts at most this many times the mean, since a frozen client or a long query
@@ -100,13 +104,14 @@
   ServiceRow& service = table.services()[row.service];
   // About the last ten answers; the first one counts in full.
   row.latency_us += (latency_us - row.latency_us) * (row.latency_us == 0 ? 1.0 : 0.1);
-  if (service.baseline_us == 0) service.baseline_us = latency_us;
+  if (service.baseline_us == 0) service.baseline_us = std::max(latency_us, kMinBaselineUs);
   const double ratio = Clamp(latency_us / service.baseline_us);
   if (row.slow >= SlowState::kSlow || (row.cold && row.ramp.ramping())) return;
   // The baseline follows normal targets within some hundred answers.
   ++service.samples;
   const double weight = std::max(0.005, 1.0 / static_cast<double>(service.samples));
   service.baseline_us += (ratio * service.baseline_us - service.baseline_us) * weight;
+  service.baseline_us = std::max(service.baseline_us, kMinBaselineUs);
   const double gain = (1.0 - 1.0 / settings_.slowdown) * ratio - std::log(settings_.slowdown);
   row.suspicion = std::max(0.0, row.suspicion + gain);
   if (row.suspicion > settings_.threshold) Declare(now, table, index);
--- a/tests/core/unit-routing.cpp
+++ b/tests/core/unit-routing.cpp
@@ -231,6 +231,18 @@
   }
 }
 
+TEST_CASE("a service with answers below a millisecond") {
+  // Guards against scheduling jitter that makes the only target slow, whose requests then wait.
+  Fixture f(1);
+  for (int i = 0; i < 200; ++i) {
+    const Chosen chosen = f.Must();
+    f.routing().OnRequestStarted(f.now(), chosen.attempt);
+    f.Pass(i % 40 >= 37 ? 700 : 100);
+    f.routing().OnRequestFinished(f.now(), chosen.attempt, {});
+  }
+  CHECK(f.Row(0).slow == SlowState::kNormal);
+}
+
 TEST_CASE("a group that slowed together twice is warned when one of it slows again") {
   // Guards against load that stays on the rest of a feed group until each member is slow.
   Fixture fixture(8);
