Publish the demonstration's configuration with dogwoodctl

Cause: make run appended the first configuration with curl, so it did not show the operators' client. Change: the demonstration writes a settings file and runs 'config apply'. Conclusion: the whole path of an operator's change is shown.

--- a/scripts/run_demo.sh
+++ b/scripts/run_demo.sh
@@ -97,7 +97,16 @@
 
 say "publishing the configuration"
 config="{\"data_centres\":[{\"name\":\"howrah\"},{\"name\":\"bowbazar\"}],\"services\":[{\"name\":\"dokan\"},{\"name\":\"khata\",\"keyed\":true,\"shards\":16}],\"routes\":[{\"name\":\"stock\",\"path_prefix\":\"/dokan\",\"service\":\"dokan\"},{\"name\":\"payment\",\"path_prefix\":\"/pay\",\"service\":\"dokan\",\"repeatable\":false},{\"name\":\"ledger\",\"path_prefix\":\"/khata\",\"service\":\"khata\",\"key\":{\"in\":\"path\",\"segment\":1}}],\"accounts\":[{\"name\":\"hospital\",\"rate\":200,\"burst\":200,\"secrets\":[{\"key_id\":\"k1\",\"salt\":\"$salt\",\"hash\":\"$(hash_secret "$caller_secret")\"}]}],\"targets\":[$(target dokan-1 dokan howrah),$(target dokan-2 dokan bowbazar),$(target khata-1 khata howrah),$(target khata-2 khata bowbazar)],\"exceptions\":[]}"
-append 1 "first configuration" config_change "{\"expected_version\":0,\"document\":$config}"
+echo "$config" >"$dir/config.json"
+cat >"$dir/dogwoodctl.json" <<JSON
+{"actor": "operator", "operator_secret": "$operator_secret",
+ "log_service": {"host": "127.0.0.1", "port": $log_port},
+ "instances": [{"name": "howrah-1", "host": "127.0.0.1", "port": $((base + 4))},
+               {"name": "howrah-2", "host": "127.0.0.1", "port": $((base + 5))},
+               {"name": "bowbazar-1", "host": "127.0.0.1", "port": $((base + 6))}]}
+JSON
+"$bin/dogwoodctl" config apply "$dir/config.json" --base 0 --reason "first configuration" \
+  --settings "$dir/dogwoodctl.json"
 for i in 0 1 2; do await curl -sSf "http://127.0.0.1:$((base + 4 + i))/-/ready"; done
 echo "all three instances are ready"
 
