Let the layer check fail without its archive; add unavailability rows in one place

Cause: (1) check_layers.sh dropped the error of nm, so a missing archive counted as clean. (2) The ownership measure built the same row three times. Change: the symbols are read first and an error ends the script; AddUnavailability makes the rows. Conclusion: ids, bounds and values of the rows are as before by construction.

--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -4,7 +4,8 @@
 build=${1:?build directory}
 cd "$(dirname "$0")/.."
 failed=0
-if nm -C "$build/libdogwood_core.a" 2>/dev/null | grep -E ' U .*(Poco::|nng_|google::Log)'; then
+symbols=$(nm -C "$build/libdogwood_core.a")
+if grep -E ' U .*(Poco::|nng_|google::Log)' <<<"$symbols"; then
   echo "core refers to a symbol of POCO, nng or glog"
   failed=1
 fi
--- a/tools/measure/ownership.cc
+++ b/tools/measure/ownership.cc
@@ -196,6 +196,13 @@
   }
 }
 
+/// Adds the longest time that a key was unavailable since the last reset.
+void AddUnavailability(const std::string& id, const OwnershipWorld& world, std::uint64_t seed,
+                       Report& report) {
+  const auto longest = static_cast<double>(world.WorstUnavailability().longest.count());
+  report.Add({id, longest / 1000, "ms", kRecoveryMs, Relation::kAtMost, {}, seed});
+}
+
 void MeasureDataCentres(std::uint64_t seed, Report& report) {
   for (const Fleet& fleet : Fleets()) {
     OwnershipWorld world(Options(fleet, seed));
@@ -217,35 +224,17 @@
     world.Run(10 * kSecond);
     report.Add(
         {"5.withdrawn.last_shard_left." + fleet.name, left, "s", 3, Relation::kAtMost, {}, seed});
-    report.Add({"5.withdrawn.unavailable." + fleet.name,
-                static_cast<double>(world.WorstUnavailability().longest.count()) / 1000,
-                "ms",
-                kRecoveryMs,
-                Relation::kAtMost,
-                {},
-                seed});
+    AddUnavailability("5.withdrawn.unavailable." + fleet.name, world, seed, report);
     world.ResetUnavailability();
     world.WriteState(0, DataCentreState::kInService);
     world.Run(30 * kSecond);
-    report.Add({"5.returned.unavailable." + fleet.name,
-                static_cast<double>(world.WorstUnavailability().longest.count()) / 1000,
-                "ms",
-                kRecoveryMs,
-                Relation::kAtMost,
-                {},
-                seed});
+    AddUnavailability("5.returned.unavailable." + fleet.name, world, seed, report);
     world.ResetUnavailability();
     world.Partition(1, true);
     world.Run(60 * kSecond);
     world.Partition(1, false);
     world.Run(5 * kSecond);
-    report.Add({"5.partitioned_minute.unavailable." + fleet.name,
-                static_cast<double>(world.WorstUnavailability().longest.count()) / 1000,
-                "ms",
-                kRecoveryMs,
-                Relation::kAtMost,
-                {},
-                seed});
+    AddUnavailability("5.partitioned_minute.unavailable." + fleet.name, world, seed, report);
     report.Add({"5.two_owners." + fleet.name,
                 static_cast<double>(world.violations().size()),
                 "moments",
