--- a/packages/client/include/dogwoodport/client/cli.h
+++ b/packages/client/include/dogwoodport/client/cli.h
@@ -12,7 +12,7 @@
 #include "dogwoodport/client/client_settings.h"
 #include "dogwoodport/client/instance_client.h"
 #include "dogwoodport/client/timer.h"
-#include "dogwoodport/platform/log_service.h"
+#include "dogwoodport/log_service/log_service.h"
 
 namespace dogwoodport {
 
--- a/packages/client/include/dogwoodport/client/log_view.h
+++ b/packages/client/include/dogwoodport/client/log_view.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 
 #include "dogwoodport/core/control_state.h"
-#include "dogwoodport/platform/log_service.h"
+#include "dogwoodport/log_service/log_service.h"
 
 namespace dogwoodport {
 
--- a/packages/client/main/dogwoodctl.cc
+++ b/packages/client/main/dogwoodctl.cc
@@ -2,7 +2,7 @@
 #include <random>
 
 #include "dogwoodport/client/cli.h"
-#include "dogwoodport/platform/http_log_service.h"
+#include "dogwoodport/log_service/http_log_service.h"
 
 namespace dogwoodport {
 namespace {
--- a/packages/daemon/src/server.cc
+++ b/packages/daemon/src/server.cc
@@ -17,7 +17,7 @@
 #include "dogwoodport/daemon/work_pool.h"
 #include "dogwoodport/gateway/detail/socket_guard.h"
 #include "dogwoodport/mesh/mesh.h"
-#include "dogwoodport/platform/http_log_service.h"
+#include "dogwoodport/log_service/http_log_service.h"
 
 namespace dogwoodport {
 namespace {
--- a/packages/platform/include/dogwoodport/platform/http_log_service.h
+++ b/packages/log_service/include/dogwoodport/log_service/http_log_service.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "dogwoodport/core/types.h"
-#include "dogwoodport/platform/log_service.h"
+#include "dogwoodport/log_service/log_service.h"
 
 namespace dogwoodport {
 
--- a/packages/platform/include/dogwoodport/platform/memory_log_service.h
+++ b/packages/log_service/include/dogwoodport/log_service/memory_log_service.h
@@ -7,7 +7,7 @@
 #include <mutex>
 
 #include "dogwoodport/core/types.h"
-#include "dogwoodport/platform/log_service.h"
+#include "dogwoodport/log_service/log_service.h"
 
 namespace dogwoodport {
 
--- a/packages/platform/src/http_log_service.cc
+++ b/packages/log_service/src/http_log_service.cc
@@ -1,4 +1,4 @@
-#include "dogwoodport/platform/http_log_service.h"
+#include "dogwoodport/log_service/http_log_service.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
--- a/packages/platform/src/memory_log_service.cc
+++ b/packages/log_service/src/memory_log_service.cc
@@ -1,4 +1,4 @@
-#include "dogwoodport/platform/memory_log_service.h"
+#include "dogwoodport/log_service/memory_log_service.h"
 
 #include <algorithm>
 
--- a/standin/include/dogwoodport/standin/state_cluster.h
+++ b/standin/include/dogwoodport/standin/state_cluster.h
@@ -15,7 +15,7 @@
 
 #include "dogwoodport/core/log_follower.h"
 #include "dogwoodport/core/membership.h"
-#include "dogwoodport/platform/memory_log_service.h"
+#include "dogwoodport/log_service/memory_log_service.h"
 
 namespace dogwoodport::standin {
 
--- a/standin/src/log_server.cc
+++ b/standin/src/log_server.cc
@@ -18,7 +18,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "dogwoodport/platform/memory_log_service.h"
+#include "dogwoodport/log_service/memory_log_service.h"
 
 namespace dogwoodport::standin {
 namespace {
--- a/tests/client/client_world.h
+++ b/tests/client/client_world.h
@@ -13,7 +13,7 @@
 #include "dogwoodport/client/cli.h"
 #include "dogwoodport/client/client_error.h"
 #include "dogwoodport/core/control_state.h"
-#include "dogwoodport/platform/memory_log_service.h"
+#include "dogwoodport/log_service/memory_log_service.h"
 
 namespace dogwoodport {
 
--- a/tests/core/unit-router.cpp
+++ b/tests/core/unit-router.cpp
@@ -4,7 +4,7 @@
 #include <optional>
 
 #include "dogwoodport/core/router.h"
-#include "dogwoodport/platform/memory_log_service.h"
+#include "dogwoodport/log_service/memory_log_service.h"
 
 namespace dogwoodport {
 namespace {
--- a/tests/daemon/unit-processes.cpp
+++ b/tests/daemon/unit-processes.cpp
@@ -3,7 +3,7 @@
 
 #include "dogwoodport/core/record.h"
 #include "dogwoodport/core/secret_store.h"
-#include "dogwoodport/platform/http_log_service.h"
+#include "dogwoodport/log_service/http_log_service.h"
 #include "dogwoodport/standin/http_target.h"
 #include "dogwoodport/standin/log_server.h"
 #include "dogwoodport/standin/process.h"
--- a/tests/platform/unit-http_log.cpp
+++ b/tests/log_service/unit-http_log.cpp
@@ -4,8 +4,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "dogwoodport/platform/http_log_service.h"
-#include "dogwoodport/platform/memory_log_service.h"
+#include "dogwoodport/log_service/http_log_service.h"
+#include "dogwoodport/log_service/memory_log_service.h"
 #include "dogwoodport/standin/log_server.h"
 
 namespace dogwoodport {
