--- a/packages/daemon/main/dogwoodd.cc
+++ b/packages/daemon/main/dogwoodd.cc
@@ -8,6 +8,7 @@
 #include "dogwoodport/daemon/json_log.h"
 #include "dogwoodport/daemon/server.h"
 #include "dogwoodport/daemon/settings.h"
+#include "dogwoodport/platform/run.h"
 
 namespace {
 
@@ -42,6 +43,7 @@
 int main(int argc, char** argv) {
   cxxopts::Options options("dogwoodd", "Routes requests to the targets that own their keys");
   options.add_options()("config", "settings file (JSON)", cxxopts::value<std::string>())(
+      "platform", "run on the users' platform, with the settings that it provides")(
       "help", "print this text");
   dogwoodport::Settings settings;
   try {
@@ -50,6 +52,7 @@
       std::cout << options.help();
       return 0;
     }
+    if (args.count("platform") > 0) return dogwoodport::platform::RunOnPlatform();
     if (args.count("config") == 0) throw dogwoodport::SettingsError("--config FILE is required");
     if (!args.unmatched().empty()) {
       throw dogwoodport::SettingsError("unexpected argument " + args.unmatched().front());
--- /dev/null
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -0,0 +1,131 @@
+#pragma once
+
+/// @file
+/// One instance: brings the event loop, the feeds, the other instances, the coordinator and the
+/// data path together.
+
+#include <csignal>
+#include <memory>
+#include <string>
+
+#include "dogwoodport/fleet/json_lines_log.h"
+#include "dogwoodport/fleet/membership/peer_exchange.h"
+#include "dogwoodport/fleet/ownership/key_coordinator.h"
+#include "dogwoodport/fleet/requests/forwarder.h"
+#include "dogwoodport/fleet/state/feed_reader.h"
+#include "dogwoodport/net/http_caller.h"
+
+namespace dogwoodport::fleet {
+
+struct InstanceSettings {
+  std::string name;
+  std::string data_centre;
+  /// "ip:port".
+  std::string caller_address;
+  std::string readiness_address;
+  std::string readiness_path;
+  std::string peer_address;
+  std::string metrics_address;
+  /// Microseconds of Unix time.
+  std::uint64_t incarnation = 0;
+  /// Connections from callers.
+  std::size_t caller_connections = 3'000;
+  RetryBound retry_bound;
+  /// Bounds of the requests that a cold target gets in a second.
+  double cold_factor = 1.5;
+  double cold_extra = 5;
+  /// Time for which the process goes on after the order to stop.
+  Duration shutdown_grace{6'000'000};
+  /// Wait of the long poll for configurations. It also bounds their age.
+  Duration operators_wait{1'000'000};
+  /// Pause between reads of the targets' heartbeats.
+  Duration targets_pause{800'000};
+  /// Time after the store's return in which targets that live write their entries again.
+  Duration entry_return{2'200'000};
+  /// Silence of the coordinator after which another instance takes over.
+  Duration coordinator_silence{1'300'000};
+  ForwarderSettings forwarder;
+  CoordinatorSettings coordinator;
+  PeerSettings peers;
+};
+
+class Instance {
+ public:
+  /// Opens all sockets. Throws net::NetError if that fails.
+  Instance(net::EventLoop& loop, InstanceSettings settings, MetadataStore& store,
+           const TargetProtocol& protocol, JsonLinesLog& log);
+  ~Instance();
+  Instance(const Instance&) = delete;
+  Instance& operator=(const Instance&) = delete;
+
+  /// Runs until `Stop` has been called and the requests have ended.
+  void Run();
+
+  /// Begins the shutdown; may be called from a signal handler through `stop_requested`.
+  void Stop();
+
+  /// Flag that a signal handler sets to stop the instance.
+  volatile std::sig_atomic_t* stop_flag() noexcept { return &stop_requested_; }
+
+ private:
+  void StartFeeds();
+  void OnOperators(const std::vector<StoreRecord>& records, bool complete);
+  void ApplyConfig(const RoutingConfigPtr& config);
+  void SetWithdrawn(std::set<std::string> withdrawn);
+  void OnTargets(const std::vector<StoreRecord>& records, bool complete, bool was_away);
+  void ApplyTarget(const StoreRecord& record, bool was_away);
+  void OnTargetChange(const std::string& id, TargetChange change);
+  void ForgetTarget(const std::string& id);
+
+  void Register();
+  void ReadInstances();
+
+  void PrepareReport(PeerReport& report, const Peer& to);
+  void OnReport(const Peer& peer);
+  void OnTable(const std::string& bytes);
+  void AdoptTable(KeyTable table, const char* source);
+  void ReadTableFromStore();
+  CoordinatorPorts MakePorts();
+  BucketRates KeyLoad(const std::string& service);
+  double CapacityOf(const Target& target) const;
+
+  void Tick();
+  void CheckCoordinator();
+  void RefreshShares();
+  void MaintainConnections();
+  void LogStatus();
+  void CheckShutdown();
+  bool Ready() const;
+  net::HttpResponse AnswerReadiness() const;
+  std::string Metrics() const;
+
+  net::EventLoop& loop_;
+  InstanceSettings settings_;
+  MetadataStore& store_;
+  const TargetProtocol& protocol_;
+  JsonLinesLog& log_;
+  FleetView view_;
+  Forwarder forwarder_;
+  net::HttpServer callers_;
+  net::HttpServer readiness_;
+  net::HttpServer metrics_;
+  net::HttpCaller caller_;
+  PeerExchange peers_;
+  KeyCoordinator coordinator_;
+  FeedReader operators_;
+  FeedReader targets_;
+  std::map<std::uint64_t, std::string> target_names_;
+  bool registered_ = false;
+  TimePoint started_at_;
+  TimePoint leaderless_since_;
+  TimePoint shares_at_{};
+  TimePoint maintain_at_{};
+  TimePoint instances_at_{};
+  TimePoint table_read_at_{};
+  bool reading_table_ = false;
+  volatile std::sig_atomic_t stop_requested_ = 0;
+  TimePoint stopping_at_{};
+  bool stopping_ = false;
+};
+
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -0,0 +1,124 @@
+#pragma once
+
+/// @file
+/// Periodic reports between the instances, as datagrams. Each report is complete in itself, so that
+/// a lost one is made good by the next.
+
+#include <Poco/Net/DatagramSocket.h>
+
+#include <functional>
+#include <map>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+#include "dogwoodport/fleet/event_log.h"
+#include "dogwoodport/fleet/ownership/key_load.h"
+#include "dogwoodport/net/event_loop.h"
+
+namespace dogwoodport::fleet {
+
+/// State of an instance as it tells the others. Names travel as hashes.
+struct PeerReport {
+  /// Address of the sender's exchange, "ip:port".
+  std::string address;
+  /// Start of the sender's process: microseconds of Unix time.
+  std::uint64_t incarnation = 0;
+  std::uint64_t number = 0;
+  std::string data_centre;
+  bool leading = false;
+  bool leaving = false;
+  /// Time since the sender last reached the store.
+  std::uint32_t store_age_ms = 0;
+  std::uint64_t config_version = 0;
+  /// Newest table of owners that the sender knows.
+  std::uint64_t generation = 0;
+  std::uint64_t revision = 0;
+  /// Requests per second by client account.
+  std::vector<std::pair<std::uint64_t, float>> demand;
+  /// Requests in flight by target.
+  std::vector<std::pair<std::uint64_t, std::uint16_t>> in_flight;
+  /// Busiest keys by service; sent to the coordinator only.
+  std::vector<std::pair<std::uint64_t, std::vector<BucketRate>>> key_load;
+
+  MSGPACK_DEFINE_ARRAY(address, incarnation, number, data_centre, leading, leaving, store_age_ms,
+                       config_version, generation, revision, demand, in_flight, key_load)
+};
+
+/// Another instance.
+struct Peer {
+  PeerReport report;
+  TimePoint known_since{};
+  TimePoint heard_at{};
+  bool heard = false;
+};
+
+/// Times of the exchange.
+struct PeerSettings {
+  Duration report_interval{200'000};
+  /// Reports of all instances together that one receives per second at most; with more instances
+  /// the interval grows.
+  double most_reports_per_s = 100;
+  /// An instance that has been silent for this long does not count as reachable.
+  Duration silence{1'100'000};
+  /// An instance that has been silent for this long is forgotten.
+  Duration retention{30'000'000};
+  /// The same for one that is known from the store only and may have ended long ago.
+  Duration unheard_retention{4'000'000};
+};
+
+class PeerExchange : public net::Watcher {
+ public:
+  /// Opens the socket. Throws net::NetError if that fails.
+  PeerExchange(net::EventLoop& loop, EventLog& log, PeerSettings settings,
+               const std::string& address, std::uint64_t incarnation);
+  ~PeerExchange() override;
+  PeerExchange(const PeerExchange&) = delete;
+  PeerExchange& operator=(const PeerExchange&) = delete;
+
+  /// Fills in a report before it is sent.
+  std::function<void(PeerReport&, const Peer& to)> on_prepare;
+  /// A report has arrived.
+  std::function<void(const Peer&)> on_report;
+  /// A table of owners has arrived.
+  std::function<void(const std::string& bytes)> on_table;
+
+  /// Adds an instance from the directory of the store.
+  void AddPeer(const std::string& address);
+  /// Sends a report to all at once instead of waiting for the interval.
+  void ReportNow();
+  /// Sends a table of owners to all, or to one.
+  void SendTable(const std::string& bytes);
+  void SendTable(const std::string& bytes, const std::string& address);
+
+  const std::map<std::string, Peer>& peers() const noexcept { return peers_; }
+  bool Reachable(const Peer& peer) const;
+  std::size_t reachable() const;
+  std::vector<std::string> ReachableAddresses() const;
+  const std::string& address() const noexcept { return address_; }
+  std::uint64_t sent_bytes() const noexcept { return sent_bytes_; }
+
+  void OnReadable() override;
+  void OnWritable() override {}
+
+ private:
+  Duration Interval() const;
+  void Schedule();
+  void Receive(const char* data, std::size_t size);
+  void ReceiveReport(PeerReport report);
+  void SendTo(const std::string& address, char kind, const std::string& body);
+  void Forget();
+
+  net::EventLoop& loop_;
+  EventLog& log_;
+  PeerSettings settings_;
+  std::string address_;
+  std::uint64_t incarnation_;
+  Poco::Net::DatagramSocket socket_;
+  std::map<std::string, Peer> peers_;
+  net::TimerId timer_;
+  std::uint64_t number_ = 0;
+  std::uint64_t sent_bytes_ = 0;
+};
+
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
@@ -0,0 +1,165 @@
+#pragma once
+
+/// @file
+/// The coordinator grants keys to targets and moves them. Any instance can take the role over.
+///
+/// The role is taken by a conditional append to the ownership feed; the offset of that record is
+/// the generation, and offsets are the fencing tokens. A new coordinator first grants each range to
+/// its present owner again with its own, higher token, which is safe at any time and fences the
+/// coordinator before it. A range moves only after its holder has answered a release, or after the
+/// longest time for which it may still hold the range. Each move is recorded before it begins.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "dogwoodport/fleet/event_log.h"
+#include "dogwoodport/fleet/membership/target_directory.h"
+#include "dogwoodport/fleet/ownership/key_planner.h"
+#include "dogwoodport/fleet/state/metadata_store.h"
+#include "dogwoodport/fleet/target_protocol.h"
+
+namespace dogwoodport::fleet {
+
+/// Times of the ownership protocol.
+struct CoordinatorSettings {
+  /// Lease of a grant. Longer than the take-over by another instance takes.
+  Duration lease{5'000'000};
+  Duration renewal_interval{1'250'000};
+  /// Longest time of a call to a target. A call that has not arrived by then is reset.
+  Duration call_timeout{800'000};
+  /// A target's clock that measures a lease may be slow by this part, in percent.
+  int clock_drift_percent = 2;
+  /// Margin for the time on the network and for late callbacks.
+  Duration margin{300'000};
+  /// A coordinator that could not confirm its role in the store for this long stops renewing.
+  Duration unconfirmed_limit{10'000'000};
+  /// Time between plans.
+  Duration plan_interval{1'000'000};
+  /// After a take-over nothing moves for this long, so that the grants are fenced first.
+  Duration settling_time{1'200'000};
+  /// Wait of the long poll that confirms the role.
+  Duration confirm_wait{3'000'000};
+  PlannerSettings planner;
+};
+
+/// What the coordinator needs from its surroundings.
+struct CoordinatorPorts {
+  MetadataStore* store = nullptr;
+  const TargetProtocol* protocol = nullptr;
+  const TargetDirectory* directory = nullptr;
+  EventLog* log = nullptr;
+  std::function<TimePoint()> now;
+  /// Calls a target; the response is unset when there was none in time.
+  std::function<void(const std::string& address, const net::HttpRequest& request, Duration timeout,
+                     std::function<void(std::optional<net::HttpResponse>)>)>
+      call;
+  /// Names of the keyed services.
+  std::function<std::vector<std::string>()> services;
+  /// Requests per second by bucket over all instances.
+  std::function<BucketRates(const std::string& service)> load;
+  /// Requests per second that a target can serve.
+  std::function<double(const Target& target)> capacity;
+  /// Whether a target may own keys, and whether it may be given more.
+  std::function<bool(const Target& target)> may_own;
+  std::function<bool(const Target& target)> may_grow;
+  /// The table has changed.
+  std::function<void(const KeyTable& table)> on_table;
+};
+
+class KeyCoordinator {
+ public:
+  KeyCoordinator(CoordinatorPorts ports, CoordinatorSettings settings, std::string self);
+  ~KeyCoordinator();
+  KeyCoordinator(const KeyCoordinator&) = delete;
+  KeyCoordinator& operator=(const KeyCoordinator&) = delete;
+
+  /// Tries to take the role; the outcome shows in `leading`. Ignored while an attempt is running.
+  void TakeOver();
+  /// Gives the role up without telling the store, because another instance has it.
+  void StepDown(const char* reason);
+  /// Renews grants, continues moves and plans new ones. Called every kTickInterval or so.
+  void Tick();
+
+  bool leading() const noexcept { return role_ == Role::kLeading; }
+  bool taking_over() const noexcept { return role_ == Role::kTakingOver; }
+  const KeyTable& table() const noexcept { return table_; }
+  /// Share of all keys that were moved by this instance.
+  double moved_share() const noexcept { return moved_share_; }
+
+ private:
+  enum class Role { kFollowing, kTakingOver, kLeading };
+  using RangeId = std::pair<std::string, std::uint32_t>;
+
+  /// Progress of the grant of one range.
+  struct Holding {
+    std::uint64_t token = 0;
+    std::uint64_t incarnation = 0;
+    std::uint16_t last = 0;
+    bool confirmed = false;
+    bool calling = false;
+    TimePoint renew_at{};
+  };
+  /// Progress of taking a range from the target that had it before.
+  struct Taking {
+    /// Token of the holder's grants; another one stands for another move.
+    std::uint64_t holder_token = 0;
+    bool calling = false;
+    bool released = false;
+    std::string handover;
+    /// Moment from which the target cannot hold the range any more.
+    TimePoint free_at{};
+    TimePoint call_at{};
+  };
+
+  void Lead(KeyTable table, std::uint64_t offset);
+  void ReadBeforeTakeOver();
+  void AppendTakeOver(KeyTable table, std::uint64_t end);
+  void ConfirmRole();
+  void OnConfirmed(TimePoint sent_at, const ReadOutcome& outcome);
+
+  void Plan();
+  void ReplaceLostDestinations(const std::string& service, KeyRanges& ranges,
+                               const std::vector<OwnerCandidate>& candidates) const;
+  std::vector<OwnerCandidate> Candidates(const std::string& service) const;
+  void Record(KeyTable next, const char* what);
+  void OnRecorded(const KeyTable& next, const AppendOutcome& outcome);
+  void ResolveAppend(KeyTable next);
+  void Adopt(KeyTable next, std::uint64_t offset);
+  void RecordFinishedMoves();
+
+  void RenewRanges();
+  void ContinueMove(const std::string& service, KeyRange& range);
+  void SendRelease(const std::string& service, const KeyRange& range, Taking& taking);
+  void SendGrant(const std::string& service, const KeyRange& range, const std::string& handover);
+  void OnGrantAnswer(const RangeId& id, std::uint64_t token,
+                     const std::optional<net::HttpResponse>& response);
+  TimePoint FreeAt(const KeyRange& range, bool confirmed) const;
+  Duration LongestHold() const;
+  void Publish();
+  void Log(LogLevel level, const char* event, nlohmann::json fields);
+
+  CoordinatorPorts ports_;
+  CoordinatorSettings settings_;
+  std::string self_;
+  Role role_ = Role::kFollowing;
+  KeyTable table_;
+  std::uint64_t end_ = 0;
+  TimePoint took_over_at_{};
+  TimePoint confirmed_at_{};
+  TimePoint plan_at_{};
+  bool recording_ = false;
+  bool confirming_ = false;
+  std::map<RangeId, Holding> holdings_;
+  std::map<RangeId, Taking> takings_;
+  double moved_share_ = 0;
+  /// Grows with each change of role, so that late callbacks are recognised.
+  std::uint64_t term_ = 0;
+  /// Expires with this object, so that callbacks after its end do nothing.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -0,0 +1,142 @@
+#pragma once
+
+/// @file
+/// Life of a request: admission, choice of a target, sending, repetition, answer.
+
+#include <array>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+#include "dogwoodport/fleet/event_log.h"
+#include "dogwoodport/fleet/overload/waiting_queue.h"
+#include "dogwoodport/fleet/requests/fleet_view.h"
+#include "dogwoodport/fleet/target_protocol.h"
+#include "dogwoodport/net/connection_pool.h"
+#include "dogwoodport/net/http_server.h"
+
+namespace dogwoodport::fleet {
+
+/// Why the router itself ended a request.
+enum class Refusal {
+  kNoConfiguration,
+  kUnknownRoute,
+  kNotAuthorized,
+  kStaleSecrets,
+  kMalformed,
+  kOverAccountLimit,
+  kNoTarget,
+  kOverloaded,
+  kTimedOut,
+  kTargetFailed,
+  kShuttingDown,
+};
+
+/// Times of the data path.
+struct ForwarderSettings {
+  /// Age of the configuration from which on it decides nothing about secrets.
+  Duration longest_secret_age{4'700'000};
+  /// Age from which on an unknown route or secret may be one that was added meanwhile.
+  Duration unknown_is_final{1'800'000};
+  /// Waiting requests that may miss before a round of offers ends.
+  std::size_t most_misses = 8;
+  /// Part of a target's connections that the instances together may open; the rest is left for
+  /// probes, for connections that are being closed and for instances that are not known yet.
+  double connection_share = 0.85;
+  SelectorSettings selector;
+};
+
+/// Counters of the data path, by outcome.
+struct ForwarderCounters {
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t abandoned = 0;
+  std::array<std::uint64_t, 11> refusals{};
+};
+
+/// Name of a reason for logs, metrics and answers.
+const char* NameOf(Refusal refusal) noexcept;
+
+class Forwarder {
+ public:
+  Forwarder(net::EventLoop& loop, FleetView& view, const TargetProtocol& protocol, EventLog& log,
+            ForwarderSettings settings, std::uint64_t seed);
+  ~Forwarder();
+  Forwarder(const Forwarder&) = delete;
+  Forwarder& operator=(const Forwarder&) = delete;
+
+  /// Takes a request of a caller.
+  void Handle(const net::ExchangePtr& exchange);
+
+  /// Offers the waiting requests again; called when targets, owners or the configuration changed.
+  void Offer();
+
+  /// Closes idle connections and drops those to addresses that are no longer used.
+  void Maintain();
+
+  /// The process is about to stop: attempts that are under way are not replaced any more.
+  void SetStopping() noexcept { stopping_ = true; }
+
+  const ForwarderCounters& counters() const noexcept { return counters_; }
+  std::size_t waiting() const;
+  std::uint64_t connections_opened() const noexcept { return pool_.opened(); }
+  /// Usual time of a request at a service; zero if none was served yet.
+  Duration UsualLatency(const std::string& service) const;
+
+ private:
+  class Request;
+  using RequestPtr = boost::intrusive_ptr<Request>;
+  struct ServiceState {
+    WaitingQueue queue;
+    RateMeter completions;
+    Duration latency{0};
+  };
+  enum class Placement { kFound, kNoRoom, kNoTarget };
+
+  bool Admit(Request& request);
+  bool CheckAccount(Request& request);
+  std::string ChooseService(const Route& route);
+  void Start(const RequestPtr& request);
+  Placement TrySend(Request& request);
+  Placement Place(const Request& request, const Target*& target);
+  Placement PlaceAtOwner(const Request& request, const Target*& target);
+  Placement PlaceAtAny(const Request& request, const Target*& target);
+  Candidate Describe(const Target& target);
+  void Send(Request& request, const Target& target);
+  void Wait(Request& request, Placement placement);
+  void OnAnswer(Request& request, net::HttpResponse response);
+  void OnNotRun(Request& request, const net::HttpResponse& response);
+  void OnBroken(Request& request, net::CallFailure failure);
+  void OnTimer(Request& request);
+  void OnAbandoned(Request& request);
+  /// Takes the right to send the request once more. `arrived` tells that the attempt before reached
+  /// a target, which makes the next one count against the budget.
+  bool MayRepeat(const Request& request, bool arrived);
+  void SendAgain(Request& request);
+  bool Repeat(Request& request, bool arrived);
+  /// Whether this instance's part of a target's connections has one for another request.
+  bool HasConnection(const Target& target, const Service& service) const;
+  void EndAttempt(Request& request, SendResult result);
+  void Refuse(Request& request, int status, Refusal refusal, Duration retry_after);
+  void Finish(Request& request, net::HttpResponse response, const char* outcome);
+  void OfferService(const std::string& service);
+  void LogRequest(LogLevel level, const char* event, const Request& request,
+                  nlohmann::json fields);
+  TimePoint now() const noexcept { return loop_.now(); }
+  double Random() { return std::uniform_real_distribution<double>()(random_); }
+
+  net::EventLoop& loop_;
+  FleetView& view_;
+  const TargetProtocol& protocol_;
+  EventLog& log_;
+  ForwarderSettings settings_;
+  net::ConnectionPool pool_;
+  std::mt19937_64 random_;
+  std::unordered_map<std::string, ServiceState> services_;
+  ForwarderCounters counters_;
+  bool offering_ = false;
+  bool stopping_ = false;
+};
+
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -0,0 +1,83 @@
+#include "dogwoodport/fleet/membership/target_directory.h"
+
+#include <array>
+#include <tuple>
+
+namespace dogwoodport::fleet {
+namespace {
+
+constexpr std::array<const char*, 7> kChangeNames = {"none",    "joined",   "restarted", "leaving",
+                                                     "changed", "doubtful", "gone"};
+
+TargetChange Compare(const TargetEntry& before, const TargetEntry& after) {
+  if (after.incarnation != before.incarnation) return TargetChange::kRestarted;
+  if (after.phase != before.phase) {
+    return after.phase == TargetPhase::kDraining ? TargetChange::kLeaving : TargetChange::kChanged;
+  }
+  const bool same = std::tie(after.service, after.address, after.data_centre, after.slots) ==
+                    std::tie(before.service, before.address, before.data_centre, before.slots);
+  return same ? TargetChange::kNone : TargetChange::kChanged;
+}
+
+bool IsOlder(const TargetEntry& entry, const TargetEntry& known) {
+  return std::tie(entry.incarnation, entry.sequence) < std::tie(known.incarnation, known.sequence);
+}
+
+}  // namespace
+
+const char* NameOf(TargetChange change) noexcept {
+  return kChangeNames[static_cast<std::size_t>(change)];
+}
+
+TargetChange TargetDirectory::Apply(const TargetEntry& entry, TimePoint now) {
+  const auto [it, joined] = targets_.try_emplace(entry.id);
+  Target& target = it->second;
+  if (!joined && IsOlder(entry, target.entry)) return TargetChange::kNone;
+  TargetChange change = joined ? TargetChange::kJoined : Compare(target.entry, entry);
+  if (joined) target.first_seen = now;
+  if (joined || change == TargetChange::kRestarted || entry.cold_for > Duration{0}) {
+    target.cold_until = now + entry.cold_for;
+  }
+  if (target.doubtful_until) {
+    target.doubtful_until.reset();
+    if (change == TargetChange::kNone) change = TargetChange::kChanged;
+  }
+  target.entry = entry;
+  target.heard_at = now;
+  if (change != TargetChange::kNone) ++version_;
+  return change;
+}
+
+TargetChange TargetDirectory::Remove(const std::string& id, TimePoint now, bool store_was_away,
+                                     Duration grace) {
+  const auto it = targets_.find(id);
+  if (it == targets_.end()) return TargetChange::kNone;
+  ++version_;
+  if (store_was_away && it->second.entry.phase == TargetPhase::kReady) {
+    if (!it->second.doubtful_until) it->second.doubtful_until = now + grace;
+    return TargetChange::kDoubtful;
+  }
+  targets_.erase(it);
+  return TargetChange::kGone;
+}
+
+std::vector<std::string> TargetDirectory::Expire(TimePoint now) {
+  std::vector<std::string> gone;
+  for (auto it = targets_.begin(); it != targets_.end();) {
+    if (it->second.doubtful_until && *it->second.doubtful_until <= now) {
+      gone.push_back(it->first);
+      it = targets_.erase(it);
+      ++version_;
+    } else {
+      ++it;
+    }
+  }
+  return gone;
+}
+
+const Target* TargetDirectory::Find(const std::string& id) const {
+  const auto it = targets_.find(id);
+  return it == targets_.end() ? nullptr : &it->second;
+}
+
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/packages/fleet/src/requests/fleet_view.cc
@@ -0,0 +1,12 @@
+#include "dogwoodport/fleet/requests/fleet_view.h"
+
+namespace dogwoodport::fleet {
+
+bool FleetView::Usable(const Target& target, TimePoint now) const {
+  if (target.entry.phase != TargetPhase::kReady) return false;
+  if (withdrawn.count(target.entry.data_centre) > 0) return false;
+  const auto it = health.find(target.entry.id);
+  return it == health.end() || !it->second.ejected(now);
+}
+
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -0,0 +1,544 @@
+#include "dogwoodport/fleet/requests/forwarder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwoodport::fleet {
+namespace {
+
+constexpr std::array<const char*, 11> kRefusalNames = {
+    "no_configuration", "unknown_route", "not_authorized", "stale_secrets",
+    "malformed",        "over_limit",    "no_target",      "overloaded",
+    "timed_out",        "target_failed", "shutting_down"};
+
+/// Time to come back where nothing better is known.
+constexpr Duration kDefaultRetry{300'000};
+/// Time of a request at a service that has not served any yet.
+constexpr Duration kUnknownLatency{100'000};
+/// Weight of the newest sample in the usual time of a service.
+constexpr double kLatencyWeight = 0.05;
+/// Shortest time that a waiting request is given, as a share of its objective.
+constexpr double kShortestWaitShare = 0.25;
+/// An idempotent request is sent elsewhere after this many usual times, or this share of its
+/// objective, whichever is later.
+constexpr double kSlowAttemptLatencies = 4.0;
+constexpr double kSlowAttemptShare = 0.7;
+/// Fewest milliseconds that are left for a repetition to make sense.
+constexpr Duration kShortestAttempt{20'000};
+/// Time until a target that denied a key, or was full, is asked again for the same request.
+constexpr Duration kDeniedWait{120'000};
+/// Response statuses.
+constexpr int kMisdirected = 421;
+
+bool IsSuccess(int status) noexcept { return status >= 200 && status < 300; }
+
+}  // namespace
+
+const char* NameOf(Refusal refusal) noexcept {
+  return kRefusalNames[static_cast<std::size_t>(refusal)];
+}
+
+/// One request of a caller.
+class Forwarder::Request : public Waiter,
+                           public net::CallHandler,
+                           public boost::intrusive_ref_counter<Request> {
+ public:
+  Request(Forwarder& forwarder, net::ExchangePtr call)
+      : owner(forwarder), exchange(std::move(call)) {}
+
+  void OnResponse(net::HttpResponse response) override {
+    const RequestPtr keep(this);
+    owner.OnAnswer(*this, std::move(response));
+  }
+  void OnFailure(net::CallFailure failure) override {
+    const RequestPtr keep(this);
+    owner.OnBroken(*this, failure);
+  }
+  bool Accepts(const net::HttpResponse& response) override {
+    const AnswerFields answer = owner.protocol_.ReadAnswer(response);
+    if (answer.request_id == caller.request_id) return true;
+    owner.LogRequest(LogLevel::kWarning, "foreign_answer", *this,
+                     {{"status", response.status}, {"answer_id", answer.request_id}});
+    return false;
+  }
+
+  bool idempotent() const noexcept { return route->kind == RequestKind::kIdempotent; }
+  bool Tried(const std::string& id) const {
+    return std::find(tried.begin(), tried.end(), id) != tried.end();
+  }
+
+  Forwarder& owner;
+  net::ExchangePtr exchange;
+  CallerFields caller;
+  RoutingConfigPtr config;
+  const Route* route = nullptr;
+  std::string account;
+  const Service* service = nullptr;
+  /// The final answer is due at this time.
+  TimePoint due_at{};
+  TimePoint objective_at{};
+  /// Targets that the request was sent to.
+  std::vector<std::string> tried;
+  int sends = 0;
+  /// Whether a target may have run the request, or may do so later.
+  bool may_have_run = false;
+  /// After an owner denied that it holds the key: no send until the owners change or this time.
+  TimePoint hold_back_until{};
+  std::uint64_t denied_revision = 0;
+  std::string target_id;
+  net::ClientConnectionPtr connection;
+  TimePoint sent_at{};
+  net::TimerId timer;
+  bool ended = false;
+};
+
+Forwarder::Forwarder(net::EventLoop& loop, FleetView& view, const TargetProtocol& protocol,
+                     EventLog& log, ForwarderSettings settings, std::uint64_t seed)
+    : loop_(loop),
+      view_(view),
+      protocol_(protocol),
+      log_(log),
+      settings_(settings),
+      pool_(loop, net::PoolLimits{}),
+      random_(seed) {}
+
+Forwarder::~Forwarder() = default;
+
+std::size_t Forwarder::waiting() const {
+  std::size_t n = 0;
+  for (const auto& [name, state] : services_) n += state.queue.size();
+  return n;
+}
+
+Duration Forwarder::UsualLatency(const std::string& service) const {
+  const auto it = services_.find(service);
+  return it == services_.end() ? Duration{0} : it->second.latency;
+}
+
+void Forwarder::Handle(const net::ExchangePtr& exchange) {
+  ++counters_.requests;
+  const RequestPtr request(new Request(*this, exchange));
+  request->caller = protocol_.ReadCaller(exchange->request());
+  if (!Admit(*request)) return;
+  Start(request);
+}
+
+bool Forwarder::Admit(Request& request) {
+  request.config = view_.config;
+  const net::HttpRequest& http = request.exchange->request();
+  if (!request.config) {
+    Refuse(request, 503, Refusal::kNoConfiguration, kDefaultRetry);
+    return false;
+  }
+  const bool current = now() - view_.config_verified_at <= settings_.unknown_is_final;
+  request.route = request.config->FindRoute(http.host, http.target);
+  if (request.route == nullptr) {
+    Refuse(request, current ? 404 : 503, Refusal::kUnknownRoute, kDefaultRetry);
+    return false;
+  }
+  if (!request.route->is_public && request.config->has_accounts() && !CheckAccount(request)) {
+    return false;
+  }
+  if (request.caller.patience_malformed || request.caller.request_id.empty()) {
+    Refuse(request, 400, Refusal::kMalformed, Duration{0});
+    return false;
+  }
+  const TimePoint arrived = request.exchange->received_at();
+  request.due_at = arrived + request.route->timeout;
+  if (request.caller.patience) {
+    request.due_at = std::min(request.due_at, arrived + *request.caller.patience);
+  }
+  request.objective_at = arrived + request.route->latency_objective;
+  request.service = request.config->FindService(ChooseService(*request.route));
+  if (request.service == nullptr) {
+    Refuse(request, 503, Refusal::kNoTarget, kDefaultRetry);
+    return false;
+  }
+  if (request.service->keyed && !request.caller.key) {
+    Refuse(request, 400, Refusal::kMalformed, Duration{0});
+    return false;
+  }
+  return true;
+}
+
+bool Forwarder::CheckAccount(Request& request) {
+  const Duration age = now() - view_.config_verified_at;
+  if (age > settings_.longest_secret_age) {
+    Refuse(request, 503, Refusal::kStaleSecrets, kDefaultRetry);
+    return false;
+  }
+  const Account* const account = request.caller.secret_malformed || !request.caller.secret
+                                     ? nullptr
+                                     : request.config->FindAccount(*request.caller.secret);
+  if (account == nullptr) {
+    const bool may_be_new = request.caller.secret && age > settings_.unknown_is_final;
+    Refuse(request, may_be_new ? 503 : 401, Refusal::kNotAuthorized, kDefaultRetry);
+    return false;
+  }
+  request.account = account->name;
+  request.priority = account->priority.value_or(request.route->priority);
+  const AccountLimiter::Decision decision = view_.accounts.Admit(account->name, now());
+  if (decision.admitted) return true;
+  Refuse(request, 429, Refusal::kOverAccountLimit, decision.retry_after);
+  return false;
+}
+
+std::string Forwarder::ChooseService(const Route& route) {
+  double total = 0;
+  for (const Split& it : route.splits) total += it.weight;
+  double at = Random() * total;
+  for (const Split& it : route.splits) {
+    at -= it.weight;
+    if (at < 0) return it.service;
+  }
+  return route.splits.empty() ? "" : route.splits.back().service;
+}
+
+void Forwarder::Start(const RequestPtr& request) {
+  const TimePoint arrived = request->exchange->received_at();
+  request->arrived_at = arrived;
+  request->exchange->set_on_abandoned([request] { request->owner.OnAbandoned(*request); });
+  view_.retry_budget.OnRequest(request->service->name, now());
+  if (request->service->keyed) {
+    view_.key_load.Add(request->service->name, *request->caller.key, now());
+  }
+  ServiceState& state = services_[request->service->name];
+  const Duration usual = state.latency > Duration{0} ? state.latency : kUnknownLatency;
+  const Duration objective = request->route->latency_objective;
+  const Duration shortest =
+      FromSeconds(Seconds(objective) * kShortestWaitShare);
+  request->useful_until =
+      std::min(request->due_at, arrived + std::max(shortest, objective - usual));
+  const Placement placement = TrySend(*request);
+  if (placement != Placement::kFound) Wait(*request, placement);
+}
+
+void Forwarder::Wait(Request& request, Placement placement) {
+  if (request.ended) return;
+  ServiceState& state = services_[request.service->name];
+  const QueueState queue{state.queue.Ahead(request.priority), state.completions.PerSecond(now())};
+  const Duration useful = request.useful_until - now();
+  if (const auto retry_after = DecideRefusal(queue, useful, Random())) {
+    Refuse(request, request.may_have_run && !request.idempotent() ? 502 : 503,
+           placement == Placement::kNoTarget ? Refusal::kNoTarget : Refusal::kOverloaded,
+           *retry_after);
+    return;
+  }
+  state.queue.Push(request);
+  const RequestPtr keep(&request);
+  loop_.Cancel(request.timer);
+  request.timer = loop_.RunAt(request.useful_until, [keep] {
+    keep->timer = net::TimerId{};
+    keep->owner.OnTimer(*keep);
+  });
+}
+
+Forwarder::Placement Forwarder::TrySend(Request& request) {
+  const Target* target = nullptr;
+  const Placement placement = Place(request, target);
+  if (placement == Placement::kFound) Send(request, *target);
+  return placement;
+}
+
+Forwarder::Placement Forwarder::Place(const Request& request, const Target*& target) {
+  return request.service->keyed ? PlaceAtOwner(request, target) : PlaceAtAny(request, target);
+}
+
+Forwarder::Placement Forwarder::PlaceAtOwner(const Request& request, const Target*& target) {
+  const KeyRange* const range = view_.keys.Find(request.service->name, *request.caller.key);
+  if (range == nullptr || !range->ready) return Placement::kNoTarget;
+  if (now() < request.hold_back_until && request.denied_revision == view_.keys.revision) {
+    return Placement::kNoTarget;
+  }
+  const Target* const owner = view_.directory.Find(range->owner);
+  if (owner == nullptr || !view_.Usable(*owner, now())) return Placement::kNoTarget;
+  if (owner->cold(now()) && !view_.cold.Available(range->owner, now())) return Placement::kNoRoom;
+  const TargetHealth& health = view_.health[range->owner];
+  if (health.Load(now()) + 1 > owner->entry.slots + settings_.selector.overcommit ||
+      !HasConnection(*owner, *request.service)) {
+    return Placement::kNoRoom;
+  }
+  target = owner;
+  return Placement::kFound;
+}
+
+Forwarder::Placement Forwarder::PlaceAtAny(const Request& request, const Target*& target) {
+  std::vector<Candidate> candidates;
+  std::vector<const Target*> targets;
+  bool any = false;
+  for (const auto& [id, it] : view_.directory.targets()) {
+    if (it.entry.service != request.service->name || !view_.Usable(it, now())) continue;
+    if (request.Tried(id)) continue;
+    any = true;
+    if (it.cold(now()) && !view_.cold.Available(id, now())) continue;
+    if (!HasConnection(it, *request.service)) continue;
+    candidates.push_back(Describe(it));
+    targets.push_back(&it);
+  }
+  const Duration usual = UsualLatency(request.service->name);
+  const auto best = SelectTarget(candidates, usual > Duration{0} ? usual : kUnknownLatency,
+                                 settings_.selector, random_());
+  if (!best) return any ? Placement::kNoRoom : Placement::kNoTarget;
+  target = targets[*best];
+  return Placement::kFound;
+}
+
+Candidate Forwarder::Describe(const Target& target) {
+  const TargetHealth& health = view_.health[target.entry.id];
+  Candidate result;
+  result.load = health.Load(now());
+  result.slots = target.entry.slots;
+  result.own_in_flight = health.in_flight();
+  result.latency = health.latency();
+  result.failure_share = health.failure_share();
+  result.shed_share = health.shed_share();
+  result.same_data_centre = target.entry.data_centre == view_.data_centre;
+  result.has_idle_connection = pool_.IdleCount(target.entry.address) > 0;
+  return result;
+}
+
+bool Forwarder::HasConnection(const Target& target, const Service& service) const {
+  if (service.max_connections == 0 || pool_.IdleCount(target.entry.address) > 0) return true;
+  const double share = service.max_connections * settings_.connection_share /
+                       static_cast<double>(std::max<std::size_t>(1, view_.instances));
+  return pool_.Count(target.entry.address) < std::max<std::size_t>(1, static_cast<std::size_t>(share));
+}
+
+void Forwarder::Send(Request& request, const Target& target) {
+  request.unlink();
+  request.target_id = target.entry.id;
+  request.tried.push_back(target.entry.id);
+  ++request.sends;
+  request.sent_at = now();
+  view_.health[target.entry.id].OnSend();
+  if (target.cold(now())) view_.cold.Take(target.entry.id, now());
+  net::HttpRequest copy = request.exchange->request();
+  protocol_.PrepareRequest(copy, {request.due_at - now(), target.entry.id, request.account});
+  request.connection = pool_.Acquire(target.entry.address);
+  request.connection->Send(net::ToBytes(copy), copy.method == "HEAD", &request);
+  TimePoint next = request.due_at;
+  if (request.idempotent() && request.sends < request.route->attempts &&
+      !request.service->keyed) {
+    const Duration usual = UsualLatency(request.service->name);
+    const double slow = std::max(kSlowAttemptLatencies * Seconds(usual),
+                                 kSlowAttemptShare * Seconds(request.route->latency_objective));
+    next = std::min(next, now() + FromSeconds(slow));
+  }
+  loop_.Cancel(request.timer);
+  request.timer = loop_.RunAt(next, [keep = RequestPtr(&request)] {
+    keep->timer = net::TimerId{};
+    keep->owner.OnTimer(*keep);
+  });
+}
+
+void Forwarder::EndAttempt(Request& request, SendResult result) {
+  const auto it = view_.health.find(request.target_id);
+  if (it != view_.health.end()) {
+    const bool was_ejected = it->second.ejected(now());
+    it->second.OnResult(result, now() - request.sent_at, now());
+    if (!was_ejected && it->second.ejected(now())) {
+      log_.Write(LogLevel::kWarning, "target_ejected",
+                 {{"target", request.target_id}, {"request_id", request.caller.request_id},
+                  {"failure_share", it->second.failure_share()}});
+    }
+  }
+  request.connection = nullptr;
+  request.target_id.clear();
+  loop_.Cancel(request.timer);
+}
+
+void Forwarder::OnAnswer(Request& request, net::HttpResponse response) {
+  const AnswerFields answer = protocol_.ReadAnswer(response);
+  if (answer.load) view_.health[request.target_id].OnLoadReport(*answer.load, now());
+  if (answer.not_run || response.status == kMisdirected) {
+    OnNotRun(request, response);
+    return;
+  }
+  if (IsSuccess(response.status) && !answer.has_signature) {
+    OnBroken(request, net::CallFailure::kMalformed);
+    return;
+  }
+  request.may_have_run = true;
+  const std::string service = request.service->name;
+  ServiceState& state = services_[service];
+  state.completions.Add(now());
+  if (response.status >= 500) {
+    EndAttempt(request, SendResult::kServerError);
+    if (!request.idempotent() || !Repeat(request, true)) {
+      Finish(request, std::move(response), "target_error");
+    }
+  } else {
+    const Duration latency = now() - request.sent_at;
+    const double weight = state.latency > Duration{0} ? kLatencyWeight : 1.0;
+    state.latency += FromSeconds(weight * Seconds(latency - state.latency));
+    EndAttempt(request, SendResult::kServed);
+    Finish(request, std::move(response), "served");
+  }
+  OfferService(service);
+}
+
+void Forwarder::OnNotRun(Request& request, const net::HttpResponse& response) {
+  const bool misdirected = response.status == kMisdirected;
+  LogRequest(LogLevel::kInfo, "not_run", request, {{"status", response.status}});
+  request.hold_back_until = now() + kDeniedWait;
+  request.denied_revision = view_.keys.revision;
+  EndAttempt(request, misdirected ? SendResult::kCancelled : SendResult::kShed);
+  if (!Repeat(request, true)) {
+    Refuse(request, request.may_have_run && !request.idempotent() ? 502 : 503,
+           Refusal::kOverloaded, kDefaultRetry);
+  }
+}
+
+void Forwarder::OnBroken(Request& request, net::CallFailure failure) {
+  const bool sent = failure == net::CallFailure::kBroken || failure == net::CallFailure::kMalformed;
+  if (sent) request.may_have_run = true;
+  LogRequest(LogLevel::kWarning, "attempt_failed", request,
+             {{"failure", static_cast<int>(failure)}, {"may_have_run", sent}});
+  EndAttempt(request, failure == net::CallFailure::kNotConnected ? SendResult::kNotConnected
+                      : failure == net::CallFailure::kStale      ? SendResult::kCancelled
+                                                                 : SendResult::kBroken);
+  if (sent && !request.idempotent()) {
+    Refuse(request, 502, Refusal::kTargetFailed, Duration{0});
+    return;
+  }
+  if (!Repeat(request, sent)) {
+    Refuse(request, sent ? 502 : 503, Refusal::kTargetFailed, kDefaultRetry);
+  }
+}
+
+bool Forwarder::MayRepeat(const Request& request, bool arrived) {
+  if (request.ended || request.sends >= request.route->attempts) return false;
+  if (request.due_at - now() < kShortestAttempt) return false;
+  return !arrived || view_.retry_budget.Take(request.service->name, now());
+}
+
+void Forwarder::SendAgain(Request& request) {
+  ++counters_.retries;
+  const Placement placement = TrySend(request);
+  if (placement != Placement::kFound) Wait(request, placement);
+}
+
+bool Forwarder::Repeat(Request& request, bool arrived) {
+  if (!MayRepeat(request, arrived)) return false;
+  SendAgain(request);
+  return true;
+}
+
+void Forwarder::OnTimer(Request& request) {
+  if (request.ended) return;
+  if (request.connection == nullptr) {
+    const ServiceState& state = services_[request.service->name];
+    Refuse(request, request.may_have_run && !request.idempotent() ? 502 : 503,
+           Refusal::kOverloaded,
+           RetryAfter({state.queue.Ahead(request.priority), 1.0}, Random()));
+    return;
+  }
+  const net::ClientConnectionPtr connection = request.connection;
+  const bool sent = connection->any_sent();
+  const bool final = now() >= request.due_at;
+  const Target* other = nullptr;
+  const bool replaced = !final && !stopping_ && Place(request, other) == Placement::kFound &&
+                        MayRepeat(request, sent);
+  if (!final && !replaced) {
+    // The attempt is slow, but no other one can take its place.
+    request.timer = loop_.RunAt(request.due_at, [keep = RequestPtr(&request)] {
+      keep->timer = net::TimerId{};
+      keep->owner.OnTimer(*keep);
+    });
+    return;
+  }
+  request.may_have_run = request.may_have_run || sent;
+  LogRequest(LogLevel::kWarning, "attempt_timed_out", request, {{"may_have_run", sent}});
+  // The target works on it until the end; only the connection tells it to stop.
+  EndAttempt(request, SendResult::kTimedOut);
+  connection->Abort();
+  if (!final) {
+    SendAgain(request);
+    return;
+  }
+  Refuse(request, request.may_have_run ? 504 : 503, Refusal::kTimedOut, kDefaultRetry);
+  OfferService(request.service->name);
+}
+
+void Forwarder::OnAbandoned(Request& request) {
+  if (request.ended) return;
+  ++counters_.abandoned;
+  const RequestPtr keep(&request);
+  request.ended = true;
+  request.unlink();
+  const net::ClientConnectionPtr connection = request.connection;
+  LogRequest(LogLevel::kInfo, "abandoned", request, {});
+  if (connection) {
+    EndAttempt(request, SendResult::kCancelled);
+    connection->Abort();
+  }
+  loop_.Cancel(request.timer);
+  OfferService(request.service->name);
+}
+
+void Forwarder::Refuse(Request& request, int status, Refusal refusal, Duration retry_after) {
+  if (request.ended) return;
+  ++counters_.refusals[static_cast<std::size_t>(refusal)];
+  LogRequest(LogLevel::kWarning, "refused", request,
+             {{"status", status},
+              {"reason", NameOf(refusal)},
+              {"retry_after_ms", retry_after.count() / 1000},
+              {"config_age_ms", (now() - view_.config_verified_at).count() / 1000}});
+  const bool retry_helps = status == 503 || status == 429;
+  Finish(request,
+         protocol_.MakeAnswer(status, NameOf(refusal), request.may_have_run,
+                              request.caller.request_id, retry_helps ? retry_after : Duration{0}),
+         nullptr);
+}
+
+void Forwarder::Finish(Request& request, net::HttpResponse response, const char* outcome) {
+  const RequestPtr keep(&request);
+  request.ended = true;
+  request.unlink();
+  loop_.Cancel(request.timer);
+  if (outcome != nullptr) {
+    ++counters_.answered;
+    LogRequest(LogLevel::kDebug, outcome, request, {{"status", response.status}});
+  }
+  request.exchange->Respond(std::move(response));
+}
+
+void Forwarder::LogRequest(LogLevel level, const char* event, const Request& request,
+                           nlohmann::json fields) {
+  if (!log_.Wants(level)) return;
+  fields["request_id"] = request.caller.request_id;
+  fields["age_ms"] = (now() - request.exchange->received_at()).count() / 1000;
+  fields["sends"] = request.sends;
+  if (request.route != nullptr) fields["route"] = request.route->name;
+  if (request.service != nullptr) fields["service"] = request.service->name;
+  if (!request.account.empty()) fields["account"] = request.account;
+  if (!request.tried.empty()) fields["target"] = request.tried.back();
+  if (request.config) fields["config_version"] = request.config->version();
+  log_.Write(level, event, fields);
+}
+
+void Forwarder::OfferService(const std::string& service) {
+  if (offering_) return;  // An offer may end a request, which would offer again.
+  offering_ = true;
+  const auto it = services_.find(service);
+  if (it != services_.end() && !it->second.queue.empty()) {
+    it->second.queue.Offer(
+        [this](Waiter& waiter) {
+          return TrySend(static_cast<Request&>(waiter)) == Placement::kFound;
+        },
+        settings_.most_misses);
+  }
+  offering_ = false;
+}
+
+void Forwarder::Offer() {
+  std::vector<std::string> names;
+  for (const auto& [name, state] : services_) {
+    if (!state.queue.empty()) names.push_back(name);
+  }
+  for (const std::string& it : names) OfferService(it);
+}
+
+void Forwarder::Maintain() { pool_.CloseStale(); }
+
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/packages/fleet/src/routing/target_health.cc
@@ -0,0 +1,85 @@
+#include "dogwoodport/fleet/routing/target_health.h"
+
+
+#include <algorithm>
+#include <cmath>
+
+#include "dogwoodport/fleet/limits/token_bucket.h"
+
+namespace dogwoodport::fleet {
+namespace {
+
+/// Weight of the newest sample in the averages.
+constexpr double kLatencyWeight = 0.1;
+constexpr double kFailureWeight = 0.15;
+/// Failures in a row after which a target is ejected.
+constexpr std::uint32_t kFailuresToEject = 3;
+constexpr Duration kFirstEjection{500'000};
+constexpr Duration kLongestEjection{4'000'000};
+/// Time after which half of a load report's weight is lost.
+constexpr Duration kReportHalfLife{150'000};
+
+bool IsFailure(SendResult result) noexcept {
+  return result == SendResult::kServerError || result == SendResult::kNotConnected ||
+         result == SendResult::kBroken || result == SendResult::kTimedOut;
+}
+
+}  // namespace
+
+void TargetHealth::OnResult(SendResult result, Duration latency, TimePoint now) {
+  if (in_flight_ > 0) --in_flight_;
+  if (result == SendResult::kCancelled) return;
+  const bool failed = IsFailure(result);
+  failures_ += kFailureWeight * ((failed ? 1.0 : 0.0) - failures_);
+  sheds_ += kFailureWeight * ((result == SendResult::kShed ? 1.0 : 0.0) - sheds_);
+  if (result == SendResult::kServed) {
+    consecutive_failures_ = 0;
+    ejections_ = 0;
+    unreachable_ = false;
+    latency_ = latency_ == Duration{0}
+                   ? latency
+                   : latency_ + Duration(static_cast<Duration::rep>(
+                                    kLatencyWeight *
+                                    static_cast<double>((latency - latency_).count())));
+  }
+  if (!failed) return;
+  ++consecutive_failures_;
+  if (result == SendResult::kNotConnected) unreachable_ = true;
+  if (consecutive_failures_ >= kFailuresToEject || unreachable_) Eject(now);
+}
+
+void TargetHealth::Eject(TimePoint now) {
+  if (now < ejected_until_) return;
+  const Duration span = std::min(kLongestEjection, kFirstEjection * (1 << std::min(ejections_, 4U)));
+  ++ejections_;
+  ejected_until_ = now + span;
+}
+
+void TargetHealth::OnLoadReport(const LoadReport& report, TimePoint now) {
+  report_ = report;
+  reported_at_ = now;
+}
+
+void TargetHealth::OnHeartbeat(TimePoint /*now*/) noexcept {}
+
+void TargetHealth::OnRestart() noexcept {
+  consecutive_failures_ = 0;
+  ejections_ = 0;
+  unreachable_ = false;
+  failures_ = 0;
+  sheds_ = 0;
+  ejected_until_ = TimePoint{};
+  report_ = LoadReport{};
+  reported_at_ = TimePoint{};
+}
+
+double TargetHealth::Load(TimePoint now) const noexcept {
+  const double counted = in_flight_ + others_in_flight_;
+  if (reported_at_ == TimePoint{}) return counted;
+  const double weight =
+      std::exp2(-Seconds(now - reported_at_) / Seconds(kReportHalfLife));
+  const double reported = report_.running + report_.waiting;
+  return std::max<double>(in_flight_, counted + weight * std::max(0.0, reported - counted));
+}
+
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/packages/net/include/dogwoodport/net/connection_pool.h
@@ -0,0 +1,59 @@
+#pragma once
+
+/// @file
+/// Kept connections to the targets, reused for later requests.
+
+#include <unordered_map>
+#include <vector>
+
+#include "dogwoodport/net/http_client.h"
+
+namespace dogwoodport::net {
+
+/// Settings of a pool.
+struct PoolLimits {
+  MessageLimits message{64 * 1024, 64 * 1024 * 1024};
+  /// Idle connections older than this are closed instead of reused; below the idle timeout of the
+  /// targets, so that a request seldom meets a connection that is being closed.
+  Duration idle_timeout{8'000'000};
+};
+
+/// Connections by address. Not a limit: the caller decides how many it opens.
+class ConnectionPool {
+ public:
+  ConnectionPool(EventLoop& loop, PoolLimits limits) : loop_(loop), limits_(limits) {}
+  ~ConnectionPool();
+  ConnectionPool(const ConnectionPool&) = delete;
+  ConnectionPool& operator=(const ConnectionPool&) = delete;
+
+  /// Returns an idle connection to `address`, the one used last, or a new one.
+  ClientConnectionPtr Acquire(const std::string& address);
+
+  /// Number of connections to `address`, idle or not.
+  std::size_t Count(const std::string& address) const;
+  std::size_t IdleCount(const std::string& address) const;
+  /// Number of connections opened since the start.
+  std::uint64_t opened() const noexcept { return opened_; }
+
+  /// Closes connections that have been idle for too long. Complexity: linear.
+  void CloseStale();
+  /// Closes the idle connections to an address that is no longer used.
+  void CloseIdle(const std::string& address);
+
+ private:
+  struct Bucket {
+    std::vector<ClientConnectionPtr> idle;
+    std::size_t count = 0;
+  };
+
+  bool Usable(const ClientConnection& connection) const;
+  void OnIdle(ClientConnection* connection);
+  void OnGone(ClientConnection* connection);
+
+  EventLoop& loop_;
+  PoolLimits limits_;
+  std::unordered_map<std::string, Bucket> buckets_;
+  std::uint64_t opened_ = 0;
+};
+
+}  // namespace dogwoodport::net
--- /dev/null
+++ b/packages/net/src/connection_pool.cc
@@ -0,0 +1,88 @@
+#include "dogwoodport/net/connection_pool.h"
+
+#include <algorithm>
+
+namespace dogwoodport::net {
+namespace {
+
+/// Part of the idle limit announced by a peer after which its connection is not reused.
+constexpr int kPeerLimitPercent = 80;
+
+void CloseAll(std::vector<ClientConnectionPtr> connections) {
+  for (const ClientConnectionPtr& it : connections) it->Abort();
+}
+
+}  // namespace
+
+ConnectionPool::~ConnectionPool() {
+  for (auto& [address, bucket] : buckets_) CloseAll(std::move(bucket.idle));
+}
+
+bool ConnectionPool::Usable(const ClientConnection& connection) const {
+  Duration limit = limits_.idle_timeout;
+  if (connection.peer_idle_limit() > Duration{0}) {
+    limit = std::min(limit, connection.peer_idle_limit() * kPeerLimitPercent / 100);
+  }
+  return connection.open() && loop_.now() - connection.idle_since() < limit;
+}
+
+ClientConnectionPtr ConnectionPool::Acquire(const std::string& address) {
+  // Abort may erase the bucket, so it is looked up again in each round.
+  for (auto it = buckets_.find(address); it != buckets_.end() && !it->second.idle.empty();
+       it = buckets_.find(address)) {
+    const ClientConnectionPtr connection = it->second.idle.back();
+    it->second.idle.pop_back();
+    if (Usable(*connection)) return connection;
+    connection->Abort();
+  }
+  ++buckets_[address].count;
+  ++opened_;
+  ClientConnectionPtr connection(new ClientConnection(
+      loop_, address, limits_.message, [this](ClientConnection* it) { OnIdle(it); },
+      [this](ClientConnection* it) { OnGone(it); }));
+  connection->Open();
+  return connection;
+}
+
+std::size_t ConnectionPool::Count(const std::string& address) const {
+  const auto it = buckets_.find(address);
+  return it == buckets_.end() ? 0 : it->second.count;
+}
+
+std::size_t ConnectionPool::IdleCount(const std::string& address) const {
+  const auto it = buckets_.find(address);
+  return it == buckets_.end() ? 0 : it->second.idle.size();
+}
+
+void ConnectionPool::OnIdle(ClientConnection* connection) {
+  buckets_[connection->address()].idle.emplace_back(connection);
+}
+
+void ConnectionPool::OnGone(ClientConnection* connection) {
+  const auto it = buckets_.find(connection->address());
+  if (it == buckets_.end()) return;
+  auto& idle = it->second.idle;
+  idle.erase(std::remove_if(idle.begin(), idle.end(),
+                            [&](const auto& other) { return other.get() == connection; }),
+             idle.end());
+  if (--it->second.count == 0) buckets_.erase(it);
+}
+
+void ConnectionPool::CloseStale() {
+  std::vector<ClientConnectionPtr> stale;
+  for (auto& [address, bucket] : buckets_) {
+    auto& idle = bucket.idle;
+    const auto first_stale = std::stable_partition(
+        idle.begin(), idle.end(), [this](const auto& it) { return Usable(*it); });
+    stale.insert(stale.end(), first_stale, idle.end());
+    idle.erase(first_stale, idle.end());
+  }
+  CloseAll(std::move(stale));
+}
+
+void ConnectionPool::CloseIdle(const std::string& address) {
+  const auto it = buckets_.find(address);
+  if (it != buckets_.end()) CloseAll(std::move(it->second.idle));
+}
+
+}  // namespace dogwoodport::net
--- /dev/null
+++ b/packages/net/src/http_caller.cc
@@ -0,0 +1,48 @@
+#include "dogwoodport/net/http_caller.h"
+
+#include <utility>
+
+namespace dogwoodport::net {
+namespace {
+
+/// One call; deletes itself once its callback has been called.
+class PendingCall : public CallHandler {
+ public:
+  PendingCall(EventLoop& loop, ClientConnectionPtr connection, HttpCaller::Callback done)
+      : loop_(loop), connection_(std::move(connection)), done_(std::move(done)) {}
+
+  void Start(std::string_view bytes, bool to_head, Duration timeout) {
+    timer_ = loop_.RunAfter(timeout, [this] {
+      timer_ = TimerId{};
+      connection_->Abort();
+      End(std::nullopt);
+    });
+    connection_->Send(bytes, to_head, this);
+  }
+
+  void OnResponse(HttpResponse response) override { End(std::move(response)); }
+  void OnFailure(CallFailure /*failure*/) override { End(std::nullopt); }
+
+ private:
+  void End(std::optional<HttpResponse> response) {
+    loop_.Cancel(timer_);
+    const HttpCaller::Callback done = std::move(done_);
+    delete this;
+    done(std::move(response));
+  }
+
+  EventLoop& loop_;
+  ClientConnectionPtr connection_;
+  HttpCaller::Callback done_;
+  TimerId timer_;
+};
+
+}  // namespace
+
+void HttpCaller::Call(const std::string& address, const HttpRequest& request, Duration timeout,
+                      Callback done) {
+  auto* const call = new PendingCall(loop_, pool_.Acquire(address), std::move(done));
+  call->Start(ToBytes(request), request.method == "HEAD", timeout);
+}
+
+}  // namespace dogwoodport::net
--- /dev/null
+++ b/packages/net/src/http_client.cc
@@ -0,0 +1,173 @@
+#include "dogwoodport/net/http_client.h"
+
+#include <charconv>
+#include <utility>
+
+namespace dogwoodport::net {
+namespace {
+
+/// Reads the seconds of "timeout=N" in a Keep-Alive field; zero if there are none.
+Duration KeepAliveTimeout(const Fields& fields) {
+  const std::string* const value = fields.Find("Keep-Alive");
+  if (value == nullptr) return Duration{0};
+  const std::size_t at = value->find("timeout=");
+  if (at == std::string::npos) return Duration{0};
+  std::int64_t seconds = 0;
+  const char* const begin = value->data() + at + std::string_view("timeout=").size();
+  std::from_chars(begin, value->data() + value->size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+std::string ToBytes(const HttpRequest& request) {
+  std::string out;
+  out.reserve(512 + request.body.size());
+  out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+  const std::string* const connection = request.fields.Find("Connection");
+  const std::string_view hop = connection == nullptr ? std::string_view() : *connection;
+  bool had_length = false;
+  for (const Field& field : request.fields) {
+    if (EqualNames(field.name, "Content-Length")) {
+      had_length = true;
+      continue;
+    }
+    if (EqualNames(field.name, "Expect") || IsHopByHop(field.name, hop)) continue;
+    out.append(field.name).append(": ").append(field.value).append("\r\n");
+  }
+  if (had_length || request.has_body) {
+    out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+  }
+  out.append("\r\n").append(request.body);
+  return out;
+}
+
+ClientConnection::ClientConnection(EventLoop& loop, std::string address, MessageLimits limits,
+                                   std::function<void(ClientConnection*)> on_idle,
+                                   std::function<void(ClientConnection*)> on_gone)
+    : loop_(loop),
+      address_(std::move(address)),
+      limits_(limits),
+      on_idle_(std::move(on_idle)),
+      on_gone_(std::move(on_gone)),
+      parser_(limits, false),
+      idle_since_(loop.now()) {}
+
+ClientConnection::~ClientConnection() {
+  if (stream_) stream_->Close();
+}
+
+void ClientConnection::Open() { stream_ = StreamPtr(new Stream(loop_, address_, this)); }
+
+void ClientConnection::Send(std::string_view bytes, bool to_head, CallHandler* handler) {
+  handler_ = handler;
+  to_head_ = to_head;
+  parser_ = ResponseParser(limits_, to_head);
+  sent_before_call_ = stream_->sent_bytes();
+  if (stream_->connected()) {
+    stream_->Write(bytes);
+  } else {
+    pending_ = bytes;
+  }
+}
+
+bool ClientConnection::any_sent() const noexcept {
+  return stream_ && stream_->sent_bytes() > sent_before_call_;
+}
+
+void ClientConnection::Abort() {
+  // A call that is given up must not arrive later.
+  if (handler_ != nullptr && stream_) stream_->Reset();
+  handler_ = nullptr;
+  Close();
+}
+
+void ClientConnection::OnConnected() {
+  if (pending_.empty()) return;
+  stream_->Write(pending_);
+  pending_.clear();
+}
+
+bool ClientConnection::NextResponse() {
+  std::string& input = stream_->input();
+  const std::size_t used = parser_.Put(input);
+  input.erase(0, used);
+  return parser_.complete();
+}
+
+void ClientConnection::OnInput() {
+  const ClientConnectionPtr keep(this);
+  if (handler_ == nullptr) {
+    Close();  // Bytes that no call waits for.
+    return;
+  }
+  while (handler_ != nullptr && NextResponse()) {
+    HttpResponse response = parser_.Take();
+    const bool interim = response.status >= 100 && response.status < 200;
+    if (!interim && handler_->Accepts(response)) {
+      Finish(std::move(response));
+      return;
+    }
+    if (!interim) saw_foreign_response_ = true;
+    if (!interim && !response.keep_alive) {
+      Fail(CallFailure::kBroken);
+      return;
+    }
+    parser_ = ResponseParser(limits_, to_head_);
+  }
+  if (parser_.failed()) Fail(CallFailure::kMalformed);
+}
+
+void ClientConnection::Finish(HttpResponse response) {
+  CallHandler* const handler = std::exchange(handler_, nullptr);
+  const Duration limit = KeepAliveTimeout(response.fields);
+  if (limit > Duration{0}) peer_idle_limit_ = limit;
+  idle_since_ = loop_.now();
+  const bool reusable = response.keep_alive && stream_->open() && stream_->input().empty() &&
+                        stream_->flushed() && !saw_foreign_response_;
+  handler->OnResponse(std::move(response));
+  if (!reusable) {
+    Close();
+  } else if (handler_ == nullptr && open()) {
+    on_idle_(this);
+  }
+}
+
+void ClientConnection::Fail(CallFailure failure) {
+  CallHandler* const handler = std::exchange(handler_, nullptr);
+  Close();
+  if (handler != nullptr) handler->OnFailure(failure);
+}
+
+void ClientConnection::Close() {
+  if (stream_) stream_->Close();
+  if (on_gone_) {
+    const ClientConnectionPtr keep(this);
+    const auto on_gone = std::exchange(on_gone_, nullptr);
+    on_gone(this);
+  }
+}
+
+void ClientConnection::OnEnd(StreamEnd end) {
+  const ClientConnectionPtr keep(this);
+  if (end == StreamEnd::kNotConnected) {
+    Fail(CallFailure::kNotConnected);
+    return;
+  }
+  if (handler_ != nullptr && end == StreamEnd::kClosed && parser_.started()) {
+    parser_.PutEnd();
+    if (parser_.complete()) {
+      HttpResponse response = parser_.Take();
+      response.keep_alive = false;
+      if (handler_->Accepts(response)) {
+        Finish(std::move(response));
+        return;
+      }
+    }
+    Fail(CallFailure::kMalformed);
+    return;
+  }
+  Fail(any_sent() ? CallFailure::kBroken : CallFailure::kStale);
+}
+
+}  // namespace dogwoodport::net
--- /dev/null
+++ b/packages/net/src/http_server.cc
@@ -0,0 +1,239 @@
+#include "dogwoodport/net/http_server.h"
+
+#include <Poco/Exception.h>
+
+#include <utility>
+
+#include "dogwoodport/net/net_error.h"
+
+namespace dogwoodport::net {
+namespace {
+
+/// Connections that wait to be accepted.
+constexpr int kBacklog = 512;
+
+std::string Serialise(const HttpResponse& response, bool to_head, bool last, bool close) {
+  std::string out;
+  out.reserve(256 + response.body.size());
+  out.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
+  out.append(ReasonPhrase(response.status)).append("\r\n");
+  const std::string* const connection = response.fields.Find("Connection");
+  const std::string_view hop = connection == nullptr ? std::string_view() : *connection;
+  const std::string* length = nullptr;
+  for (const Field& field : response.fields) {
+    if (EqualNames(field.name, "Content-Length")) {
+      length = &field.value;
+      continue;
+    }
+    if (IsHopByHop(field.name, hop)) continue;
+    out.append(field.name).append(": ").append(field.value).append("\r\n");
+  }
+  const bool bodiless = response.status == 204 || response.status == 304;
+  if (to_head && length != nullptr) {
+    out.append("Content-Length: ").append(*length).append("\r\n");
+  } else if (!bodiless) {
+    out.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
+  }
+  if (last && close) out.append("Connection: close\r\n");
+  out.append("\r\n");
+  if (!to_head && !bodiless) out.append(response.body);
+  return out;
+}
+
+}  // namespace
+
+Exchange::Exchange(boost::intrusive_ptr<ServerConnection> connection, HttpRequest request,
+                   TimePoint now)
+    : connection_(std::move(connection)), request_(std::move(request)), received_at_(now) {}
+
+void Exchange::Respond(HttpResponse response) {
+  if (answered_) return;
+  answered_ = true;
+  response_ = std::move(response);
+  on_abandoned_ = nullptr;
+  const auto connection = std::exchange(connection_, nullptr);
+  if (connection) connection->SendDue();
+}
+
+HttpServer::HttpServer(EventLoop& loop, const std::string& address, RequestHandler on_request,
+                       FaultHandler on_fault)
+    : loop_(loop), on_request_(std::move(on_request)), on_fault_(std::move(on_fault)) {
+  try {
+    socket_.bind(Poco::Net::SocketAddress(address), true);
+    socket_.listen(kBacklog);
+    socket_.setBlocking(false);
+  } catch (const Poco::Exception& e) {
+    throw NetError("cannot listen on " + address + ": " + e.displayText());
+  }
+  loop_.Watch(socket_, Poco::Net::PollSet::POLL_READ, this);
+}
+
+HttpServer::~HttpServer() {
+  loop_.Unwatch(socket_);
+  while (!connections_.empty()) connections_.front().Detach();
+}
+
+void HttpServer::OnReadable() {
+  // One connection a round: a rush of new ones does not delay open requests.
+  try {
+    const Poco::Net::StreamSocket socket = socket_.acceptConnection();
+    if (connections_.size() >= limits_.connections) return;  // Closed as it goes out of scope.
+    const boost::intrusive_ptr<ServerConnection> connection(new ServerConnection(*this, socket));
+    intrusive_ptr_add_ref(connection.get());  // The list holds a reference until `Remove`.
+    connections_.push_back(*connection);
+  } catch (const Poco::Exception&) {
+    return;  // The connection ended before it was accepted, or there is no descriptor left.
+  }
+}
+
+void HttpServer::Drain() {
+  draining_ = true;
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    ServerConnection& connection = *it++;
+    connection.CloseIfIdle();
+  }
+}
+
+ServerConnection::ServerConnection(HttpServer& server, const Poco::Net::StreamSocket& socket)
+    : server_(&server),
+      parser_(server.limits_.message),
+      last_activity_(server.loop_.now()) {
+  stream_ = StreamPtr(new Stream(server.loop_, socket, this));
+  ArmTimer();
+}
+
+void ServerConnection::Detach() {
+  for (const ExchangePtr& it : exchanges_) it->connection_ = nullptr;
+  Remove();
+}
+
+void ServerConnection::Remove() {
+  if (server_ == nullptr) return;
+  HttpServer* const server = std::exchange(server_, nullptr);
+  server->loop_.Cancel(timer_);
+  server->open_requests_ -= exchanges_.size();
+  server->connections_.erase(server->connections_.iterator_to(*this));
+  stream_->CloseAfterFlush();
+  exchanges_.clear();
+  intrusive_ptr_release(this);
+}
+
+void ServerConnection::CloseIfIdle() {
+  if (exchanges_.empty() && !reading_since_ && stream_->input().empty()) Remove();
+}
+
+void ServerConnection::ArmTimer() {
+  const ServerLimits& limits = server_->limits_;
+  const TimePoint due = reading_since_ && !parser_.head_complete()
+                            ? *reading_since_ + limits.header_timeout
+                            : last_activity_ + limits.idle_timeout;
+  server_->loop_.Cancel(timer_);
+  timer_ = server_->loop_.RunAt(due, [this] {
+    timer_ = TimerId{};
+    OnTimer();
+  });
+}
+
+void ServerConnection::OnTimer() {
+  const boost::intrusive_ptr<ServerConnection> keep(this);
+  const TimePoint now = server_->loop_.now();
+  if (reading_since_ && !parser_.head_complete() &&
+      now >= *reading_since_ + server_->limits_.header_timeout) {
+    AnswerFault({408, "the header section did not arrive in time"});
+    return;
+  }
+  if (exchanges_.empty() && now >= last_activity_ + server_->limits_.idle_timeout) {
+    Remove();
+    return;
+  }
+  if (!exchanges_.empty()) last_activity_ = now;
+  ArmTimer();
+}
+
+void ServerConnection::OnInput() {
+  const boost::intrusive_ptr<ServerConnection> keep(this);
+  last_activity_ = server_->loop_.now();
+  ReadRequests();
+}
+
+void ServerConnection::ReadRequests() {
+  if (reading_now_) return;
+  reading_now_ = true;
+  const boost::intrusive_ptr<ServerConnection> keep(this);
+  while (server_ != nullptr && !no_more_requests_ && !stream_->input().empty() &&
+         exchanges_.size() < server_->limits_.pipeline_depth) {
+    const bool first_bytes = !reading_since_;
+    if (first_bytes) reading_since_ = server_->loop_.now();
+    const std::size_t used = parser_.Put(stream_->input());
+    stream_->input().erase(0, used);
+    if (parser_.fault()) {
+      AnswerFault(*parser_.fault());
+      break;
+    }
+    if (!parser_.complete()) {
+      if (parser_.head_complete() && parser_.expects_continue() && !continue_sent_ &&
+          exchanges_.empty()) {
+        continue_sent_ = true;
+        stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      if (first_bytes) ArmTimer();
+      break;
+    }
+    StartRequest();
+  }
+  reading_now_ = false;
+}
+
+void ServerConnection::StartRequest() {
+  HttpRequest request = parser_.Take();
+  parser_ = RequestParser(server_->limits_.message);
+  reading_since_.reset();
+  continue_sent_ = false;
+  no_more_requests_ = !request.keep_alive || server_->draining_;
+  const ExchangePtr exchange(new Exchange(this, std::move(request), server_->loop_.now()));
+  exchanges_.push_back(exchange);
+  ++server_->open_requests_;
+  server_->on_request_(exchange);
+}
+
+void ServerConnection::AnswerFault(const RequestFault& fault) {
+  no_more_requests_ = true;
+  const ExchangePtr exchange(new Exchange(this, HttpRequest{}, server_->loop_.now()));
+  exchanges_.push_back(exchange);
+  ++server_->open_requests_;
+  exchange->Respond(server_->on_fault_(fault));
+}
+
+void ServerConnection::SendDue() {
+  const boost::intrusive_ptr<ServerConnection> keep(this);
+  if (server_ == nullptr) return;
+  while (!exchanges_.empty() && exchanges_.front()->answered()) {
+    const ExchangePtr exchange = exchanges_.front();
+    exchanges_.pop_front();
+    --server_->open_requests_;
+    if (server_->draining_) no_more_requests_ = true;
+    const bool last = exchanges_.empty() && no_more_requests_;
+    stream_->Write(Serialise(exchange->response_, exchange->request().method == "HEAD", last,
+                             no_more_requests_));
+    if (last) {
+      Remove();
+      return;
+    }
+  }
+  last_activity_ = server_->loop_.now();
+  ReadRequests();
+  if (server_ != nullptr) stream_->SetReading(true);
+}
+
+void ServerConnection::OnEnd(StreamEnd /*end*/) {
+  const boost::intrusive_ptr<ServerConnection> keep(this);
+  const std::deque<ExchangePtr> open = exchanges_;
+  Remove();
+  for (const ExchangePtr& it : open) {
+    it->abandoned_ = true;
+    it->connection_ = nullptr;
+    if (const auto callback = std::exchange(it->on_abandoned_, nullptr)) callback();
+  }
+}
+
+}  // namespace dogwoodport::net
--- /dev/null
+++ b/packages/net/src/stream.cc
@@ -0,0 +1,183 @@
+#include "dogwoodport/net/stream.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <netinet/tcp.h>
+
+#include <array>
+
+namespace dogwoodport::net {
+namespace {
+
+using Poco::Net::PollSet;
+
+constexpr int kReadChunkBytes = 16 * 1024;
+/// Input that a handler leaves in the buffer stops the reading at this size.
+constexpr std::size_t kMostInputBytes = 256 * 1024;
+/// Time after which unacknowledged bytes end a connection whose path went silent.
+constexpr int kUserTimeoutMs = 10'000;
+/// Longest wait for the peer to close its side after the last output.
+constexpr Duration kLingerTimeout{1'000'000};
+
+void Prepare(Poco::Net::StreamSocket& socket) {
+  socket.setNoDelay(true);
+  socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
+}  // namespace
+
+Stream::Stream(EventLoop& loop, const Poco::Net::StreamSocket& socket, StreamHandler* handler)
+    : loop_(loop), socket_(socket), handler_(handler), connected_(true) {
+  socket_.setBlocking(false);
+  Prepare(socket_);
+  mode_ = PollSet::POLL_READ;
+  loop_.Watch(socket_, mode_, this);
+}
+
+Stream::Stream(EventLoop& loop, const std::string& address, StreamHandler* handler)
+    : loop_(loop), handler_(handler) {
+  try {
+    socket_.connectNB(Poco::Net::SocketAddress(address));
+    Prepare(socket_);
+    mode_ = PollSet::POLL_WRITE;
+    loop_.Watch(socket_, mode_, this);
+  } catch (const Poco::Exception&) {
+    // Reported from the loop, so that the caller can finish its own set-up first.
+    open_ = false;
+    loop_.RunAfter(Duration{0}, [self = StreamPtr(this)] {
+      if (self->handler_ != nullptr) self->handler_->OnEnd(StreamEnd::kNotConnected);
+    });
+  }
+}
+
+void Stream::UpdateMode() {
+  if (!open_) return;
+  int mode = 0;
+  if (connected_ && reading_ && input_.size() < kMostInputBytes) mode |= PollSet::POLL_READ;
+  if (!connected_ || !output_.empty()) mode |= PollSet::POLL_WRITE;
+  if (mode == mode_) return;
+  mode_ = mode;
+  loop_.Update(socket_, mode);
+}
+
+void Stream::Write(std::string_view data) {
+  if (!open_) return;
+  output_.append(data);
+  if (connected_) Flush();
+}
+
+void Stream::SetReading(bool reading) {
+  reading_ = reading;
+  UpdateMode();
+}
+
+void Stream::Close() {
+  handler_ = nullptr;
+  if (!open_) return;
+  open_ = false;
+  loop_.Cancel(linger_timer_);
+  loop_.Unwatch(socket_);
+  socket_.close();
+  lingering_ = nullptr;  // Last, as it may destroy this object.
+}
+
+void Stream::Reset() {
+  if (open_ && connected_) {
+    try {
+      socket_.setLinger(true, 0);
+    } catch (const Poco::Exception&) {  // NOLINT(bugprone-empty-catch)
+      // The peer has reset the connection already.
+    }
+  }
+  Close();
+}
+
+void Stream::CloseAfterFlush() {
+  handler_ = nullptr;
+  if (!open_ || !connected_) {
+    Close();
+    return;
+  }
+  lingering_ = this;
+  input_.clear();
+  linger_timer_ = loop_.RunAfter(kLingerTimeout, [this] {
+    linger_timer_ = TimerId{};
+    Close();
+  });
+  if (output_.empty()) ShutdownOutput();
+  UpdateMode();
+}
+
+void Stream::ShutdownOutput() {
+  if (output_shut_) return;
+  output_shut_ = true;
+  try {
+    socket_.shutdownSend();
+  } catch (const Poco::Exception&) {
+    Close();  // The peer has reset the connection.
+  }
+}
+
+void Stream::End(StreamEnd end) {
+  StreamHandler* handler = handler_;
+  Close();
+  if (handler != nullptr) handler->OnEnd(end);
+}
+
+void Stream::Flush() {
+  try {
+    while (!output_.empty()) {
+      const int n = socket_.sendBytes(output_.data(), static_cast<int>(output_.size()));
+      if (n <= 0) break;
+      sent_bytes_ += static_cast<std::uint64_t>(n);
+      output_.erase(0, static_cast<std::size_t>(n));
+    }
+  } catch (const Poco::Exception&) {
+    // The next read reports the end, after input that arrived before it.
+    output_.clear();
+  }
+  if (output_.empty() && lingering_) ShutdownOutput();
+  UpdateMode();
+}
+
+void Stream::OnWritable() {
+  const StreamPtr keep(this);
+  if (!connected_) {
+    int ec = 0;
+    socket_.getOption(SOL_SOCKET, SO_ERROR, ec);
+    if (ec != 0) {
+      End(StreamEnd::kNotConnected);
+      return;
+    }
+    connected_ = true;
+    if (handler_ != nullptr) handler_->OnConnected();
+    if (!open_) return;
+  }
+  Flush();
+}
+
+void Stream::OnReadable() {
+  const StreamPtr keep(this);
+  if (!connected_) {
+    OnWritable();
+    return;
+  }
+  std::array<char, kReadChunkBytes> buf;
+  try {
+    const int n = socket_.receiveBytes(buf.data(), kReadChunkBytes);
+    if (n < 0) return;
+    if (n == 0) {
+      End(StreamEnd::kClosed);
+      return;
+    }
+    if (handler_ == nullptr) return;  // Input after the last answer.
+    input_.append(buf.data(), static_cast<std::size_t>(n));
+  } catch (const Poco::Exception&) {
+    End(StreamEnd::kReset);
+    return;
+  }
+  handler_->OnInput();
+  UpdateMode();
+}
+
+}  // namespace dogwoodport::net
