--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -81,6 +81,8 @@
   void ReadInstances();
 
   void PrepareReport(PeerReport& report, const Peer& to);
+  void PrepareLoad(PeerLoad& load);
+  void OnLoad(const PeerLoad& before, const PeerLoad& load);
   void OnReport(const Peer& peer);
   void OnTable(const std::string& bytes);
   void AdoptTable(KeyTable table, const char* source);
@@ -114,7 +116,8 @@
   KeyCoordinator coordinator_;
   FeedReader operators_;
   FeedReader targets_;
-  std::map<std::uint64_t, std::string> target_names_;
+  /// Ids of the targets by their hash in the loads.
+  std::unordered_map<std::uint32_t, std::string> target_names_;
   bool registered_ = false;
   TimePoint started_at_;
   TimePoint leaderless_since_;
@@ -125,6 +128,8 @@
   bool reading_table_ = false;
   volatile std::sig_atomic_t stop_requested_ = 0;
   TimePoint stopping_at_{};
+  /// Latest time at which a caller's connection was open during the shutdown.
+  TimePoint drained_at_{};
   bool stopping_ = false;
 };
 
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -36,18 +36,27 @@
   std::uint64_t revision = 0;
   /// Requests per second by client account.
   std::vector<std::pair<std::uint64_t, float>> demand;
-  /// Requests in flight by target.
-  std::vector<std::pair<std::uint64_t, std::uint16_t>> in_flight;
   /// Busiest keys by service; sent to the coordinator only.
   std::vector<std::pair<std::uint64_t, std::vector<BucketRate>>> key_load;
 
   MSGPACK_DEFINE_ARRAY(address, incarnation, number, data_centre, leading, leaving, store_age_ms,
-                       config_version, generation, revision, demand, in_flight, key_load)
+                       config_version, generation, revision, demand, key_load)
+};
+
+/// Requests that an instance has in flight, by hash of the target. Sent more often than reports,
+/// because the choice of a target is only as good as it is fresh.
+struct PeerLoad {
+  std::string address;
+  std::uint64_t number = 0;
+  std::vector<std::pair<std::uint32_t, std::uint16_t>> in_flight;
+
+  MSGPACK_DEFINE_ARRAY(address, number, in_flight)
 };
 
 /// Another instance.
 struct Peer {
   PeerReport report;
+  PeerLoad load;
   TimePoint known_since{};
   TimePoint heard_at{};
   bool heard = false;
@@ -55,10 +64,12 @@
 
 /// Times of the exchange.
 struct PeerSettings {
-  Duration report_interval{200'000};
-  /// Reports of all instances together that one receives per second at most; with more instances
-  /// the interval grows.
-  double most_reports_per_s = 100;
+  Duration report_interval{250'000};
+  Duration load_interval{50'000};
+  /// Reports, and loads, that one instance receives per second at most; with more instances the
+  /// intervals grow.
+  double most_reports_per_s = 60;
+  double most_loads_per_s = 200;
   /// An instance that has been silent for this long does not count as reachable.
   Duration silence{1'100'000};
   /// An instance that has been silent for this long is forgotten.
@@ -80,6 +91,10 @@
   std::function<void(PeerReport&, const Peer& to)> on_prepare;
   /// A report has arrived.
   std::function<void(const Peer&)> on_report;
+  /// Fills in a load before it is sent.
+  std::function<void(PeerLoad&)> on_prepare_load;
+  /// The load of an instance has arrived; `before` is what it said last.
+  std::function<void(const PeerLoad& before, const PeerLoad& load)> on_load;
   /// A table of owners has arrived.
   std::function<void(const std::string& bytes)> on_table;
 
@@ -102,8 +117,12 @@
   void OnWritable() override {}
 
  private:
-  Duration Interval() const;
-  void Schedule();
+  Duration Interval(Duration shortest, double most_per_s) const;
+  Duration ReportInterval() const;
+  void ScheduleReport();
+  void ScheduleLoad();
+  void SendLoad();
+  void ReceiveLoad(PeerLoad load);
   void Receive(const char* data, std::size_t size);
   void ReceiveReport(PeerReport report);
   void SendTo(const std::string& address, char kind, const std::string& body);
@@ -116,8 +135,12 @@
   std::uint64_t incarnation_;
   Poco::Net::DatagramSocket socket_;
   std::map<std::string, Peer> peers_;
-  net::TimerId timer_;
+  net::TimerId report_timer_;
+  net::TimerId load_timer_;
   std::uint64_t number_ = 0;
+  std::uint64_t load_number_ = 0;
+  /// The load that was sent last was empty, so that another empty one says nothing new.
+  bool load_was_empty_ = false;
   std::uint64_t sent_bytes_ = 0;
 };
 
--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -104,6 +104,7 @@
   Placement PlaceAtAny(const Request& request, const Target*& target);
   Candidate Describe(const Target& target);
   void Send(Request& request, const Target& target);
+  void SetUrgency(Request& request);
   void Wait(Request& request, Placement placement);
   void OnAnswer(Request& request, net::HttpResponse response);
   void OnNotRun(Request& request, const net::HttpResponse& response);
@@ -134,6 +135,8 @@
   net::ConnectionPool pool_;
   std::mt19937_64 random_;
   std::unordered_map<std::string, ServiceState> services_;
+  /// Longest time that callers of a route have been willing to wait: that of a first try.
+  std::unordered_map<std::string, Duration> longest_patience_;
   ForwarderCounters counters_;
   bool offering_ = false;
   bool stopping_ = false;
--- a/packages/fleet/include/dogwoodport/fleet/routing/target_health.h
+++ b/packages/fleet/include/dogwoodport/fleet/routing/target_health.h
@@ -3,6 +3,7 @@
 /// @file
 /// What this instance has seen of a target: requests in flight, latency, failures, load reports.
 
+#include <algorithm>
 #include <string>
 #include <unordered_map>
 
@@ -28,16 +29,18 @@
   /// `latency` counts from the send.
   void OnResult(SendResult result, Duration latency, TimePoint now);
   void OnLoadReport(const LoadReport& report, TimePoint now);
-  /// A heartbeat has arrived or another incarnation has started.
-  void OnHeartbeat(TimePoint now) noexcept;
+  /// Another incarnation has started.
   void OnRestart() noexcept;
 
   std::uint32_t in_flight() const noexcept { return in_flight_; }
-  /// Requests in flight at other instances, from their reports.
-  std::uint32_t others_in_flight() const noexcept { return others_in_flight_; }
-  void set_others_in_flight(std::uint32_t n) noexcept { others_in_flight_ = n; }
-  /// Average time of a served request; zero before the first one.
+  /// Adds to the requests in flight at other instances, from what they report.
+  void AddOthersInFlight(int n) noexcept { others_in_flight_ = std::max(0, others_in_flight_ + n); }
+  /// Average time of a served request while the target works at its usual speed; zero before the
+  /// first one.
   Duration latency() const noexcept { return latency_; }
+  /// Time that work is expected to take at `now`, relative to the usual. The newest report counts
+  /// less as it ages, because targets slow down and recover within fractions of a second.
+  double Slowdown(TimePoint now) const noexcept;
   /// Recent share of sends that failed, 0 to 1.
   double failure_share() const noexcept { return failures_; }
   /// Recent share of sends that were refused for lack of room, 0 to 1.
@@ -53,7 +56,7 @@
   void Eject(TimePoint now);
 
   std::uint32_t in_flight_ = 0;
-  std::uint32_t others_in_flight_ = 0;
+  int others_in_flight_ = 0;
   std::uint32_t consecutive_failures_ = 0;
   std::uint32_t ejections_ = 0;
   bool unreachable_ = false;
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -25,6 +25,8 @@
 constexpr std::size_t kReportedBuckets = 64;
 /// After the order to stop, callers are still sent here for this long.
 constexpr Duration kStillRouted{2'300'000};
+/// Time for the last answers to reach their callers before the process ends.
+constexpr Duration kLastAnswers{300'000};
 /// Part of the grace that is left for the end of the process.
 constexpr Duration kExitMargin{400'000};
 /// Age of the configuration above which callers are better served elsewhere.
@@ -32,6 +34,11 @@
 
 std::uint64_t HashOf(const std::string& name) { return TargetId::FromName(name).value; }
 
+/// Hash of a target in the frequent loads.
+std::uint32_t ShortHashOf(const std::string& name) {
+  return static_cast<std::uint32_t>(HashOf(name));
+}
+
 std::string ReportBytes(const KeyTable& table) { return Encode(table); }
 
 net::HttpResponse PlainAnswer(int status, std::string body) {
@@ -90,6 +97,8 @@
   callers_.limits().connections = settings_.caller_connections;
   peers_.on_prepare = [this](PeerReport& report, const Peer& to) { PrepareReport(report, to); };
   peers_.on_report = [this](const Peer& peer) { OnReport(peer); };
+  peers_.on_prepare_load = [this](PeerLoad& load) { PrepareLoad(load); };
+  peers_.on_load = [this](const PeerLoad& before, const PeerLoad& load) { OnLoad(before, load); };
   peers_.on_table = [this](const std::string& bytes) { OnTable(bytes); };
 }
 
@@ -123,8 +132,9 @@
   if (!stopping_) return;
   const Duration since = loop_.now() - stopping_at_;
   if (since >= kStillRouted && !callers_.draining()) callers_.Drain();
-  const bool drained =
-      callers_.draining() && callers_.open_requests() == 0 && callers_.open_connections() == 0;
+  const bool open = callers_.open_requests() > 0 || callers_.open_connections() > 0;
+  if (open || !callers_.draining()) drained_at_ = loop_.now();
+  const bool drained = loop_.now() - drained_at_ >= kLastAnswers;
   if (drained || since >= settings_.shutdown_grace - kExitMargin) loop_.Stop();
 }
 
@@ -210,7 +220,7 @@
   }
   try {
     const TargetEntry entry = protocol_.ReadTarget(record.key, *record.value);
-    target_names_[HashOf(entry.id)] = entry.id;
+    target_names_[ShortHashOf(entry.id)] = entry.id;
     OnTargetChange(entry.id, view_.directory.Apply(entry, now));
   } catch (const std::exception& e) {
     log_.Write(LogLevel::kWarning, "target_entry_unusable",
@@ -229,7 +239,7 @@
 
 void Instance::ForgetTarget(const std::string& id) {
   // Requests in flight still end there, so the observations stay until the next round.
-  target_names_.erase(HashOf(id));
+  target_names_.erase(ShortHashOf(id));
   view_.cold.Forget(id);
 }
 
@@ -268,17 +278,31 @@
   for (const auto& [name, rate] : view_.accounts.Demand(now)) {
     report.demand.emplace_back(HashOf(name), static_cast<float>(rate));
   }
-  for (const auto& [id, health] : view_.health) {
-    if (health.in_flight() > 0) {
-      report.in_flight.emplace_back(HashOf(id), static_cast<std::uint16_t>(health.in_flight()));
-    }
-  }
   if (!to.report.leading) return;
   for (auto& [service, rates] : view_.key_load.Busiest(now, kReportedBuckets)) {
     report.key_load.emplace_back(HashOf(service), std::move(rates));
   }
 }
 
+void Instance::PrepareLoad(PeerLoad& load) {
+  for (const auto& [id, health] : view_.health) {
+    if (health.in_flight() > 0) {
+      load.in_flight.emplace_back(ShortHashOf(id), static_cast<std::uint16_t>(health.in_flight()));
+    }
+  }
+}
+
+void Instance::OnLoad(const PeerLoad& before, const PeerLoad& load) {
+  const auto add = [this](const PeerLoad& part, int sign) {
+    for (const auto& [hash, n] : part.in_flight) {
+      const auto it = target_names_.find(hash);
+      if (it != target_names_.end()) view_.health[it->second].AddOthersInFlight(sign * int{n});
+    }
+  };
+  add(before, -1);
+  add(load, 1);
+}
+
 void Instance::OnReport(const Peer& peer) {
   const PeerReport& report = peer.report;
   if (report.leading && coordinator_.leading() && report.generation > view_.keys.generation) {
@@ -433,13 +457,11 @@
   const TimePoint now = loop_.now();
   shares_at_ = now + kSharesInterval;
   std::unordered_map<std::uint64_t, double> demand;
-  std::unordered_map<std::uint64_t, std::uint32_t> in_flight;
   std::size_t reachable = 0;
   for (const auto& [address, peer] : peers_.peers()) {
     if (!peers_.Reachable(peer)) continue;
     if (!peer.report.leaving) ++reachable;
     for (const auto& [name, rate] : peer.report.demand) demand[name] += rate;
-    for (const auto& [target, n] : peer.report.in_flight) in_flight[target] += n;
   }
   const std::size_t known = peers_.peers().size();
   view_.accounts.SetInstances(reachable, known - std::min(known, reachable));
@@ -452,7 +474,6 @@
   }
   const std::vector<std::string> others = peers_.ReachableAddresses();
   for (const auto& [id, target] : view_.directory.targets()) {
-    view_.health[id].set_others_in_flight(in_flight[HashOf(id)]);
     if (!target.cold(now)) continue;
     const Service* const service =
         view_.config ? view_.config->FindService(target.entry.service) : nullptr;
@@ -492,6 +513,7 @@
               {"store_calls", store_.calls()},
               {"connections", forwarder_.connections_opened()},
               {"peer_bytes", peers_.sent_bytes()},
+              {"longest_round_ms", loop_.TakeLongestRound().count() / 1000},
               {"config_age_ms", (loop_.now() - view_.config_verified_at).count() / 1000}});
 }
 
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr char kReportKind = 'r';
+constexpr char kLoadKind = 'l';
 constexpr char kTableKind = 't';
 constexpr std::size_t kLargestDatagram = 65'000;
 /// Datagrams read in one round.
@@ -23,6 +24,13 @@
   return {buf.data(), buf.size()};
 }
 
+template <typename T>
+T Unpack(const std::string& bytes) {
+  T value;
+  msgpack::unpack(bytes.data(), bytes.size()).get().convert(value);
+  return value;
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(net::EventLoop& loop, EventLog& log, PeerSettings settings,
@@ -39,26 +47,60 @@
     throw net::NetError("cannot bind " + address + ": " + e.displayText());
   }
   loop_.Watch(socket_, Poco::Net::PollSet::POLL_READ, this);
-  Schedule();
+  ScheduleReport();
+  ScheduleLoad();
 }
 
 PeerExchange::~PeerExchange() {
-  loop_.Cancel(timer_);
+  loop_.Cancel(report_timer_);
+  loop_.Cancel(load_timer_);
   loop_.Unwatch(socket_);
 }
 
-Duration PeerExchange::Interval() const {
-  const double fair = static_cast<double>(peers_.size()) / settings_.most_reports_per_s;
-  return std::max(settings_.report_interval, FromSeconds(fair));
+Duration PeerExchange::Interval(Duration shortest, double most_per_s) const {
+  return std::max(shortest, FromSeconds(static_cast<double>(peers_.size()) / most_per_s));
 }
 
-void PeerExchange::Schedule() {
-  timer_ = loop_.RunAfter(Interval(), [this] {
+Duration PeerExchange::ReportInterval() const {
+  return Interval(settings_.report_interval, settings_.most_reports_per_s);
+}
+
+void PeerExchange::ScheduleReport() {
+  report_timer_ = loop_.RunAfter(ReportInterval(), [this] {
     ReportNow();
-    Schedule();
+    ScheduleReport();
   });
 }
 
+void PeerExchange::ScheduleLoad() {
+  load_timer_ = loop_.RunAfter(Interval(settings_.load_interval, settings_.most_loads_per_s),
+                               [this] {
+                                 SendLoad();
+                                 ScheduleLoad();
+                               });
+}
+
+void PeerExchange::SendLoad() {
+  if (!on_prepare_load) return;
+  PeerLoad load;
+  load.address = address_;
+  load.number = incarnation_ + ++load_number_;
+  on_prepare_load(load);
+  if (load.in_flight.empty() && load_was_empty_) return;
+  load_was_empty_ = load.in_flight.empty();
+  const std::string body = Pack(load);
+  for (const auto& [address, peer] : peers_) {
+    if (Reachable(peer)) SendTo(address, kLoadKind, body);
+  }
+}
+
+void PeerExchange::ReceiveLoad(PeerLoad load) {
+  const auto it = peers_.find(load.address);
+  if (it == peers_.end() || load.number < it->second.load.number) return;
+  if (on_load) on_load(it->second.load, load);
+  it->second.load = std::move(load);
+}
+
 void PeerExchange::AddPeer(const std::string& address) {
   if (address == address_) return;
   const auto [it, added] = peers_.try_emplace(address);
@@ -115,10 +157,8 @@
   try {
     const std::string body(data + 1, size - 1);
     if (data[0] == kTableKind && on_table) on_table(body);
-    if (data[0] != kReportKind) return;
-    PeerReport report;
-    msgpack::unpack(body.data(), body.size()).get().convert(report);
-    ReceiveReport(std::move(report));
+    if (data[0] == kReportKind) ReceiveReport(Unpack<PeerReport>(body));
+    if (data[0] == kLoadKind) ReceiveLoad(Unpack<PeerLoad>(body));
   } catch (const std::exception& e) {
     log_.Write(LogLevel::kWarning, "datagram_unreadable", {{"bytes", size}, {"error", e.what()}});
   }
@@ -151,12 +191,13 @@
       continue;
     }
     log_.Write(LogLevel::kInfo, "peer_forgotten", {{"peer", it->first}});
+    if (on_load) on_load(it->second.load, PeerLoad{});
     it = peers_.erase(it);
   }
 }
 
 bool PeerExchange::Reachable(const Peer& peer) const {
-  const Duration limit = std::max(settings_.silence, Interval() * 3);
+  const Duration limit = std::max(settings_.silence, ReportInterval() * 3);
   return peer.heard && loop_.now() - peer.heard_at <= limit;
 }
 
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -17,12 +17,17 @@
 constexpr Duration kUnknownLatency{100'000};
 /// Weight of the newest sample in the usual time of a service.
 constexpr double kLatencyWeight = 0.05;
-/// Shortest time that a waiting request is given, as a share of its objective.
-constexpr double kShortestWaitShare = 0.25;
-/// An idempotent request is sent elsewhere after this many usual times, or this share of its
-/// objective, whichever is later.
-constexpr double kSlowAttemptLatencies = 4.0;
-constexpr double kSlowAttemptShare = 0.7;
+/// A request waits for a target as long as this many usual times are left of its objective; most
+/// requests take less.
+constexpr double kServiceMargin = 2.0;
+/// Longest wait of a request that cannot meet its objective any more, as a share of the objective.
+constexpr double kLateWaitShare = 0.15;
+/// Added to the priority of such a request.
+constexpr int kLatePriority = 1'000;
+/// An idempotent request is sent elsewhere while this many usual times are left of its objective,
+/// but not before it has taken that many usual times itself.
+constexpr double kTimeForAnother = 1.5;
+constexpr double kShortestPatience = 1.4;
 /// Fewest milliseconds that are left for a repetition to make sense.
 constexpr Duration kShortestAttempt{20'000};
 /// Time until a target that denied a key, or was full, is asked again for the same request.
@@ -202,17 +207,32 @@
   if (request->service->keyed) {
     view_.key_load.Add(request->service->name, *request->caller.key, now());
   }
-  ServiceState& state = services_[request->service->name];
-  const Duration usual = state.latency > Duration{0} ? state.latency : kUnknownLatency;
-  const Duration objective = request->route->latency_objective;
-  const Duration shortest =
-      FromSeconds(Seconds(objective) * kShortestWaitShare);
-  request->useful_until =
-      std::min(request->due_at, arrived + std::max(shortest, objective - usual));
+  SetUrgency(*request);
   const Placement placement = TrySend(*request);
   if (placement != Placement::kFound) Wait(*request, placement);
 }
 
+void Forwarder::SetUrgency(Request& request) {
+  const TimePoint arrived = request.exchange->received_at();
+  const Duration objective = request.route->latency_objective;
+  const Duration known = UsualLatency(request.service->name);
+  const Duration usual = known > Duration{0} ? known : kUnknownLatency;
+  // A caller that comes back has less time left than one that asks for the first time.
+  Duration& longest = longest_patience_[request.route->name];
+  const Duration patience = request.caller.patience.value_or(longest);
+  longest = std::max(longest, patience);
+  request.objective_at = arrived + objective - (longest - patience);
+  const bool in_time = request.objective_at - arrived >= usual;
+  if (in_time) {
+    request.useful_until = request.objective_at - FromSeconds(kServiceMargin * Seconds(usual));
+  } else {
+    // Only room that nobody else needs is left for an answer that comes late anyway.
+    request.priority += kLatePriority;
+    request.useful_until = arrived + FromSeconds(kLateWaitShare * Seconds(objective));
+  }
+  request.useful_until = std::clamp(request.useful_until, arrived, request.due_at);
+}
+
 void Forwarder::Wait(Request& request, Placement placement) {
   if (request.ended) return;
   ServiceState& state = services_[request.service->name];
@@ -289,7 +309,9 @@
   result.load = health.Load(now());
   result.slots = target.entry.slots;
   result.own_in_flight = health.in_flight();
-  result.latency = health.latency();
+  const Duration usual = health.latency() > Duration{0} ? health.latency()
+                                                       : UsualLatency(target.entry.service);
+  result.latency = FromSeconds(Seconds(usual) * health.Slowdown(now()));
   result.failure_share = health.failure_share();
   result.shed_share = health.shed_share();
   result.same_data_centre = target.entry.data_centre == view_.data_centre;
@@ -320,9 +342,9 @@
   if (request.idempotent() && request.sends < request.route->attempts &&
       !request.service->keyed) {
     const Duration usual = UsualLatency(request.service->name);
-    const double slow = std::max(kSlowAttemptLatencies * Seconds(usual),
-                                 kSlowAttemptShare * Seconds(request.route->latency_objective));
-    next = std::min(next, now() + FromSeconds(slow));
+    const TimePoint last_chance = request.objective_at - FromSeconds(kTimeForAnother * Seconds(usual));
+    const TimePoint patience = now() + FromSeconds(kShortestPatience * Seconds(usual));
+    if (usual > Duration{0}) next = std::min(next, std::max(last_chance, patience));
   }
   loop_.Cancel(request.timer);
   request.timer = loop_.RunAt(next, [keep = RequestPtr(&request)] {
--- a/packages/fleet/src/routing/target_health.cc
+++ b/packages/fleet/src/routing/target_health.cc
@@ -18,6 +18,11 @@
 constexpr Duration kLongestEjection{4'000'000};
 /// Time after which half of a load report's weight is lost.
 constexpr Duration kReportHalfLife{150'000};
+/// The same for the reported speed.
+constexpr Duration kSlowdownHalfLife{250'000};
+/// Bounds of a reported slowdown; others are taken for errors of the report.
+constexpr double kLeastSlowdown = 0.25;
+constexpr double kMostSlowdown = 20.0;
 
 bool IsFailure(SendResult result) noexcept {
   return result == SendResult::kServerError || result == SendResult::kNotConnected ||
@@ -36,11 +41,10 @@
     consecutive_failures_ = 0;
     ejections_ = 0;
     unreachable_ = false;
+    const Duration usual = FromSeconds(Seconds(latency) / Slowdown(now));
     latency_ = latency_ == Duration{0}
-                   ? latency
-                   : latency_ + Duration(static_cast<Duration::rep>(
-                                    kLatencyWeight *
-                                    static_cast<double>((latency - latency_).count())));
+                   ? usual
+                   : latency_ + FromSeconds(kLatencyWeight * Seconds(usual - latency_));
   }
   if (!failed) return;
   ++consecutive_failures_;
@@ -60,7 +64,12 @@
   reported_at_ = now;
 }
 
-void TargetHealth::OnHeartbeat(TimePoint /*now*/) noexcept {}
+double TargetHealth::Slowdown(TimePoint now) const noexcept {
+  if (reported_at_ == TimePoint{}) return 1;
+  const double weight = std::exp2(-Seconds(now - reported_at_) / Seconds(kSlowdownHalfLife));
+  const double reported = std::clamp(report_.slowdown, kLeastSlowdown, kMostSlowdown);
+  return 1 + weight * (reported - 1);
+}
 
 void TargetHealth::OnRestart() noexcept {
   consecutive_failures_ = 0;
--- a/packages/net/include/dogwoodport/net/event_loop.h
+++ b/packages/net/include/dogwoodport/net/event_loop.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 #include "dogwoodport/core/types.h"
 
@@ -69,6 +70,9 @@
   void Update(const Poco::Net::Socket& socket, int mode);
   void Unwatch(const Poco::Net::Socket& socket);
 
+  /// Longest time that the callbacks of one round took since the last call of this function.
+  Duration TakeLongestRound() noexcept { return std::exchange(longest_round_, Duration{0}); }
+
   /// Runs callbacks until `Stop`. `on_round` is called after each round.
   void Run(const Callback& on_round = nullptr);
   void Stop() noexcept { running_ = false; }
@@ -82,6 +86,7 @@
   std::map<TimerId, Callback> timers_;
   std::uint64_t next_timer_ = 1;
   TimePoint now_;
+  Duration longest_round_{0};
   bool running_ = false;
 };
 
--- a/packages/net/include/dogwoodport/net/http_server.h
+++ b/packages/net/include/dogwoodport/net/http_server.h
@@ -63,8 +63,8 @@
   void SendDue();
   void OnInput() override;
   void OnEnd(StreamEnd end) override;
-  /// Closes the connection if no request is open on it.
-  void CloseIfIdle();
+  /// Closes the connection if no request is open on it; returns whether it did.
+  bool CloseIfIdle();
   /// Forgets the server, which is about to be destroyed.
   void Detach();
 
@@ -73,6 +73,7 @@
   void StartRequest();
   void AnswerFault(const RequestFault& fault);
   void WriteResponse(const Exchange& exchange, bool last);
+  void Touch();
   void ArmTimer();
   void OnTimer();
   void Remove();
@@ -87,6 +88,8 @@
   std::optional<TimePoint> reading_since_;
   bool continue_sent_ = false;
   bool no_more_requests_ = false;
+  /// The caller has said that its latest request is the last one.
+  bool caller_is_done_ = false;
   bool reading_now_ = false;
 };
 
@@ -99,7 +102,8 @@
   Duration idle_timeout{15'000'000};
   /// Requests of one connection that are worked on at once; later ones wait unread.
   std::size_t pipeline_depth = 16;
-  /// Open connections; further ones are closed at once.
+  /// Open connections. Beyond it the connection that has been idle for longest makes room for a
+  /// new one; if none is idle, the new one is closed.
   std::size_t connections = 3'000;
 };
 
@@ -133,6 +137,10 @@
 
  private:
   friend class ServerConnection;
+  /// Whether connections should end after the answer to an accepted or a refused request.
+  bool ShouldClose(bool refused) const noexcept;
+  bool MakeRoom();
+
   using Connections =
       boost::intrusive::list<ServerConnection, boost::intrusive::constant_time_size<true>>;
 
@@ -141,6 +149,7 @@
   RequestHandler on_request_;
   FaultHandler on_fault_;
   ServerLimits limits_;
+  /// Ordered by the time of their last request.
   Connections connections_;
   std::size_t open_requests_ = 0;
   bool draining_ = false;
--- a/packages/net/include/dogwoodport/net/stream.h
+++ b/packages/net/include/dogwoodport/net/stream.h
@@ -64,8 +64,8 @@
   void Reset();
   /// Closes it in order without further events: sends the buffered output and discards input until
   /// the peer closes too, as closing with unread input would reset the connection and could
-  /// destroy output on its way.
-  void CloseAfterFlush();
+  /// destroy output on its way. `peer_is_done` tells that the peer will send nothing more.
+  void CloseAfterFlush(bool peer_is_done);
 
   void OnReadable() override;
   void OnWritable() override;
--- a/packages/net/src/event_loop.cc
+++ b/packages/net/src/event_loop.cc
@@ -51,6 +51,7 @@
     Poll();
     RunTimers();
     if (on_round) on_round();
+    longest_round_ = std::max(longest_round_, BootTime() - now_);
   }
 }
 
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -1,6 +1,9 @@
 #include "dogwoodport/net/http_server.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <utility>
 
@@ -11,6 +14,17 @@
 
 /// Connections that wait to be accepted.
 constexpr int kBacklog = 512;
+/// Connections accepted in one round, so that a rush of new ones does not delay open requests.
+constexpr int kAcceptsPerRound = 16;
+/// Idle connections that are looked at to make room for a new one.
+constexpr int kMostRoomAttempts = 32;
+/// Parts of the connection limit from which on connections end after a refusal, or after any
+/// answer, in percent.
+constexpr std::size_t kCloseRefusedPercent = 40;
+constexpr std::size_t kCloseAllPercent = 80;
+
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 
 std::string Serialise(const HttpResponse& response, bool to_head, bool last, bool close) {
   std::string out;
@@ -62,6 +76,7 @@
     socket_.bind(Poco::Net::SocketAddress(address), true);
     socket_.listen(kBacklog);
     socket_.setBlocking(false);
+    socket_.setOption(IPPROTO_TCP, TCP_NODELAY, 1);  // Accepted sockets inherit it.
   } catch (const Poco::Exception& e) {
     throw NetError("cannot listen on " + address + ": " + e.displayText());
   }
@@ -74,18 +89,32 @@
 }
 
 void HttpServer::OnReadable() {
-  // One connection a round: a rush of new ones does not delay open requests.
-  try {
-    const Poco::Net::StreamSocket socket = socket_.acceptConnection();
-    if (connections_.size() >= limits_.connections) return;  // Closed as it goes out of scope.
+  for (int i = 0; i < kAcceptsPerRound; ++i) {
+    const int fd = accept4(socket_.impl()->sockfd(), nullptr, nullptr, SOCK_CLOEXEC);
+    if (fd < 0) return;  // None is waiting, or there is no descriptor left.
+    const Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(fd));
+    if (connections_.size() >= limits_.connections && !MakeRoom()) continue;
     const boost::intrusive_ptr<ServerConnection> connection(new ServerConnection(*this, socket));
     intrusive_ptr_add_ref(connection.get());  // The list holds a reference until `Remove`.
     connections_.push_back(*connection);
-  } catch (const Poco::Exception&) {
-    return;  // The connection ended before it was accepted, or there is no descriptor left.
   }
 }
 
+bool HttpServer::MakeRoom() {
+  int attempts = 0;
+  for (auto it = connections_.begin(); it != connections_.end() && attempts < kMostRoomAttempts;
+       ++attempts) {
+    ServerConnection& connection = *it++;
+    if (connection.CloseIfIdle()) return true;
+  }
+  return false;
+}
+
+bool HttpServer::ShouldClose(bool refused) const noexcept {
+  const std::size_t percent = refused ? kCloseRefusedPercent : kCloseAllPercent;
+  return draining_ || connections_.size() * 100 >= limits_.connections * percent;
+}
+
 void HttpServer::Drain() {
   draining_ = true;
   for (auto it = connections_.begin(); it != connections_.end();) {
@@ -113,13 +142,21 @@
   server->loop_.Cancel(timer_);
   server->open_requests_ -= exchanges_.size();
   server->connections_.erase(server->connections_.iterator_to(*this));
-  stream_->CloseAfterFlush();
+  stream_->CloseAfterFlush(caller_is_done_);
   exchanges_.clear();
   intrusive_ptr_release(this);
 }
 
-void ServerConnection::CloseIfIdle() {
-  if (exchanges_.empty() && !reading_since_ && stream_->input().empty()) Remove();
+bool ServerConnection::CloseIfIdle() {
+  if (!exchanges_.empty() || reading_since_ || !stream_->input().empty()) return false;
+  Remove();
+  return true;
+}
+
+void ServerConnection::Touch() {
+  last_activity_ = server_->loop_.now();
+  HttpServer::Connections& all = server_->connections_;
+  all.splice(all.end(), all, HttpServer::Connections::s_iterator_to(*this));
 }
 
 void ServerConnection::ArmTimer() {
@@ -152,7 +189,7 @@
 
 void ServerConnection::OnInput() {
   const boost::intrusive_ptr<ServerConnection> keep(this);
-  last_activity_ = server_->loop_.now();
+  Touch();
   ReadRequests();
 }
 
@@ -189,7 +226,8 @@
   parser_ = RequestParser(server_->limits_.message);
   reading_since_.reset();
   continue_sent_ = false;
-  no_more_requests_ = !request.keep_alive || server_->draining_;
+  caller_is_done_ = !request.keep_alive;
+  no_more_requests_ = caller_is_done_ || server_->draining_;
   const ExchangePtr exchange(new Exchange(this, std::move(request), server_->loop_.now()));
   exchanges_.push_back(exchange);
   ++server_->open_requests_;
@@ -211,7 +249,9 @@
     const ExchangePtr exchange = exchanges_.front();
     exchanges_.pop_front();
     --server_->open_requests_;
-    if (server_->draining_) no_more_requests_ = true;
+    const int status = exchange->response_.status;
+    const bool refused = status == kTooManyRequests || status == kUnavailable;
+    if (server_->ShouldClose(refused)) no_more_requests_ = true;
     const bool last = exchanges_.empty() && no_more_requests_;
     stream_->Write(Serialise(exchange->response_, exchange->request().method == "HEAD", last,
                              no_more_requests_));
--- a/packages/net/src/stream.cc
+++ b/packages/net/src/stream.cc
@@ -1,10 +1,11 @@
 #include "dogwoodport/net/stream.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/NetException.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 
 namespace dogwoodport::net {
 namespace {
@@ -28,8 +29,6 @@
 
 Stream::Stream(EventLoop& loop, const Poco::Net::StreamSocket& socket, StreamHandler* handler)
     : loop_(loop), socket_(socket), handler_(handler), connected_(true) {
-  socket_.setBlocking(false);
-  Prepare(socket_);
   mode_ = PollSet::POLL_READ;
   loop_.Watch(socket_, mode_, this);
 }
@@ -92,9 +91,9 @@
   Close();
 }
 
-void Stream::CloseAfterFlush() {
+void Stream::CloseAfterFlush(bool peer_is_done) {
   handler_ = nullptr;
-  if (!open_ || !connected_) {
+  if (!open_ || !connected_ || (peer_is_done && output_.empty() && input_.empty())) {
     Close();
     return;
   }
@@ -125,16 +124,18 @@
 }
 
 void Stream::Flush() {
-  try {
-    while (!output_.empty()) {
-      const int n = socket_.sendBytes(output_.data(), static_cast<int>(output_.size()));
-      if (n <= 0) break;
+  while (!output_.empty()) {
+    const ssize_t n = send(socket_.impl()->sockfd(), output_.data(), output_.size(),
+                           MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (n > 0) {
       sent_bytes_ += static_cast<std::uint64_t>(n);
       output_.erase(0, static_cast<std::size_t>(n));
+      continue;
     }
-  } catch (const Poco::Exception&) {
-    // The next read reports the end, after input that arrived before it.
-    output_.clear();
+    if (n < 0 && errno == EINTR) continue;
+    // The next read reports a broken connection, after input that arrived before it broke.
+    if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK) output_.clear();
+    break;
   }
   if (output_.empty() && lingering_) ShutdownOutput();
   UpdateMode();
@@ -163,19 +164,14 @@
     return;
   }
   std::array<char, kReadChunkBytes> buf;
-  try {
-    const int n = socket_.receiveBytes(buf.data(), kReadChunkBytes);
-    if (n < 0) return;
-    if (n == 0) {
-      End(StreamEnd::kClosed);
-      return;
-    }
-    if (handler_ == nullptr) return;  // Input after the last answer.
-    input_.append(buf.data(), static_cast<std::size_t>(n));
-  } catch (const Poco::Exception&) {
-    End(StreamEnd::kReset);
+  const ssize_t n = recv(socket_.impl()->sockfd(), buf.data(), buf.size(), MSG_DONTWAIT);
+  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
+  if (n <= 0) {
+    End(n == 0 ? StreamEnd::kClosed : StreamEnd::kReset);
     return;
   }
+  if (handler_ == nullptr) return;  // Input after the last answer.
+  input_.append(buf.data(), static_cast<std::size_t>(n));
   handler_->OnInput();
   UpdateMode();
 }
