--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -21,7 +21,7 @@
 /// requests take less.
 constexpr double kServiceMargin = 2.0;
 /// Longest wait of a request that cannot meet its objective any more, as a share of the objective.
-constexpr double kLateWaitShare = 0.15;
+constexpr double kLateWaitShare = 0.6;
 /// Added to the priority of such a request.
 constexpr int kLatePriority = 1'000;
 /// An idempotent request is sent elsewhere while this many usual times are left of its objective,
