Pass on what the coordinator reads from the store; relax and scale the shared budgets

A receiver dates what it is told by the stamp of its own last report, so the age of its secrets is never underestimated.

--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -39,7 +39,10 @@
   /// Wait of the long poll for configurations. It also bounds their age.
   Duration operators_wait{1'000'000};
   /// Pause between reads of the targets' heartbeats.
-  Duration targets_pause{800'000};
+  Duration targets_pause{600'000};
+  /// Silence of the coordinator after which an instance reads the feeds itself.
+  Duration operators_push_silence{1'500'000};
+  Duration targets_push_silence{1'400'000};
   /// Time after the store's return in which targets that live write their entries again.
   Duration entry_return{2'200'000};
   /// Silence of the coordinator after which another instance takes over.
@@ -73,8 +76,11 @@
   void ApplyConfig(const RoutingConfigPtr& config);
   void SetWithdrawn(std::set<std::string> withdrawn);
   void OnTargets(const std::vector<StoreRecord>& records, bool complete, bool was_away);
-  void ApplyTarget(const StoreRecord& record, bool was_away);
+  /// Returns whether the record changed anything.
+  bool ApplyTarget(const StoreRecord& record, bool was_away);
   void OnTargetChange(const std::string& id, TargetChange change);
+  void PushFeed(Feed feed, std::uint64_t from, std::uint64_t end, bool complete);
+  void OnFeedPush(const FeedPush& push);
   void ForgetTarget(const std::string& id);
 
   void Register();
@@ -118,6 +124,10 @@
   FeedReader targets_;
   /// Ids of the targets by their hash in the loads.
   std::unordered_map<std::uint32_t, std::string> target_names_;
+  /// Records read lately that change something, by feed; they are passed on twice, as a datagram
+  /// may be lost.
+  std::map<Feed, std::vector<StoreRecord>> recent_changes_;
+  std::map<Feed, std::uint64_t> last_push_from_;
   bool registered_ = false;
   TimePoint started_at_;
   TimePoint leaderless_since_;
--- a/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
@@ -53,11 +53,15 @@
     double rate = 0;
     double burst = 0;
     double others_demand = 0;
-    RateMeter demand;
+    RateMeter demand{Duration{2'000'000}};
     TokenBucket bucket;
+    /// Whether the bucket got its first tokens.
+    bool started = false;
   };
 
   void Refresh(Entry& entry, TimePoint now) noexcept;
+  double EvenShare() const noexcept;
+  bool MayGoIntoDebt(Entry& entry, TimePoint now) const;
 
   std::unordered_map<std::string, Entry> entries_;
   std::size_t reachable_ = 0;
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -14,6 +14,7 @@
 
 #include "dogwoodport/fleet/event_log.h"
 #include "dogwoodport/fleet/ownership/key_load.h"
+#include "dogwoodport/fleet/state/metadata_store.h"
 #include "dogwoodport/net/event_loop.h"
 
 namespace dogwoodport::fleet {
@@ -25,6 +26,8 @@
   /// Start of the sender's process: microseconds of Unix time.
   std::uint64_t incarnation = 0;
   std::uint64_t number = 0;
+  /// Sender's clock in microseconds, which the coordinator uses to date what it passes on.
+  std::int64_t stamp_us = 0;
   std::string data_centre;
   bool leading = false;
   bool leaving = false;
@@ -39,7 +42,7 @@
   /// Busiest keys by service; sent to the coordinator only.
   std::vector<std::pair<std::uint64_t, std::vector<BucketRate>>> key_load;
 
-  MSGPACK_DEFINE_ARRAY(address, incarnation, number, data_centre, leading, leaving, store_age_ms,
+  MSGPACK_DEFINE_ARRAY(address, incarnation, number, stamp_us, data_centre, leading, leaving, store_age_ms,
                        config_version, generation, revision, demand, key_load)
 };
 
@@ -53,6 +56,20 @@
   MSGPACK_DEFINE_ARRAY(address, number, in_flight)
 };
 
+/// What the coordinator has read from a feed of the store, for one other instance. It spares the
+/// others their own reads.
+struct FeedPush {
+  std::uint8_t feed = 0;
+  /// The push holds what matters of the records from `from` up to `end`.
+  std::uint64_t from = 0;
+  std::uint64_t end = 0;
+  /// The feed had no record beyond `end` at this time on the receiver's clock, in microseconds.
+  std::int64_t verified_us = 0;
+  std::vector<StoreRecord> records;
+
+  MSGPACK_DEFINE_ARRAY(feed, from, end, verified_us, records)
+};
+
 /// Another instance.
 struct Peer {
   PeerReport report;
@@ -98,6 +115,13 @@
   /// A table of owners has arrived.
   std::function<void(const std::string& bytes)> on_table;
 
+  /// A part of a feed has arrived.
+  std::function<void(const FeedPush&)> on_feed;
+
+  /// Sends what was read from a feed to all reachable instances. `verified_at` is dated on each
+  /// receiver's clock by its latest report, never later than it was.
+  void PushFeed(FeedPush push, TimePoint verified_at);
+
   /// Adds an instance from the directory of the store.
   void AddPeer(const std::string& address);
   /// Sends a report to all at once instead of waiting for the interval.
--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_planner.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_planner.h
@@ -26,14 +26,14 @@
 
 struct PlannerSettings {
   /// Load over the mean load, relative to capacity, above which a target gives keys away.
-  double tolerated_imbalance = 1.3;
+  double tolerated_imbalance = 1.25;
   /// Requests per second of a target below which imbalance is of no consequence, as a share of its
   /// capacity.
   double idle_load = 0.35;
-  /// Pieces moved for balance in one plan.
-  std::size_t most_moves = 3;
-  /// Share of the total load below which a surplus is not worth a move.
-  double smallest_surplus = 0.02;
+  /// Pieces moved for balance in one plan, as a share of the targets, but at least two.
+  double most_moves = 0.2;
+  /// Surplus that is not worth a move, as a share of the mean load of a target.
+  double smallest_surplus = 0.2;
 };
 
 /// Returns the ranges as they should be. Ranges whose owner changes have token 0, name the owner
--- a/packages/fleet/include/dogwoodport/fleet/routing/target_selector.h
+++ b/packages/fleet/include/dogwoodport/fleet/routing/target_selector.h
@@ -34,8 +34,8 @@
 struct SelectorSettings {
   /// Cost of a request that leaves the data centre: the round trip, and its price in bytes.
   Duration distance_cost{8'000};
-  /// Cost of a new connection.
-  Duration connection_cost{3'000};
+  /// Cost of a new connection: a round trip, the work of the target, and its price.
+  Duration connection_cost{15'000};
   /// Requests beyond its slots that a target is given; it queues them for a short time.
   double overcommit = 0;
 };
--- a/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
+++ b/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
@@ -20,6 +20,8 @@
   Duration wait{0};
   /// Time from the end of a read to the next one.
   Duration pause{0};
+  /// While parts of the feed arrive from the coordinator at least this often, the store is not read.
+  Duration push_silence{0};
 };
 
 /// Reads all records of a feed in their order, starting with the newest of each key.
@@ -29,15 +31,27 @@
   /// records before. `was_away` tells that reads had failed for a while before this one.
   using Handler =
       std::function<void(const std::vector<StoreRecord>& records, bool complete, bool was_away)>;
+  /// Called after each own read with the offsets that it covered; `complete` as for the handler.
+  using ReadObserver = std::function<void(std::uint64_t from, std::uint64_t end, bool complete)>;
 
   FeedReader(net::EventLoop& loop, MetadataStore& store, EventLog& log, FeedSettings settings,
-             Handler handler);
+             Handler handler, ReadObserver on_read);
   ~FeedReader();
   FeedReader(const FeedReader&) = delete;
   FeedReader& operator=(const FeedReader&) = delete;
 
   void Start();
 
+  /// Takes a part of the feed that the coordinator has read: the records from `from` up to `end`
+  /// that matter, dated on this instance's clock.
+  void AcceptPush(std::uint64_t from, std::uint64_t end, TimePoint verified_at,
+                  const std::vector<StoreRecord>& records);
+
+  /// Whether this instance reads the store itself in any case, because the others rely on it.
+  void SetAlwaysReads(bool always) noexcept { always_reads_ = always; }
+
+  std::uint64_t next_offset() const noexcept { return next_offset_; }
+
   /// Everything that was in the feed at this time has been handled.
   TimePoint verified_at() const noexcept { return verified_at_; }
   bool loaded() const noexcept { return loaded_; }
@@ -46,6 +60,8 @@
 
  private:
   void Next();
+  void ScheduleNext(Duration pause);
+  bool Follows() const;
   void Handle(TimePoint sent_at, bool complete, const ReadOutcome& outcome);
   void OnAvailable();
   void OnUnavailable(const StoreUnavailable& outcome);
@@ -55,9 +71,13 @@
   EventLog& log_;
   FeedSettings settings_;
   Handler handler_;
+  ReadObserver on_read_;
   std::uint64_t next_offset_ = 0;
   bool loaded_ = false;
   bool available_ = true;
+  bool always_reads_ = false;
+  bool reading_ = false;
+  TimePoint pushed_at_{};
   TimePoint verified_at_{};
   TimePoint returned_at_{};
   TimePoint lost_at_{};
--- a/packages/fleet/include/dogwoodport/fleet/state/metadata_store.h
+++ b/packages/fleet/include/dogwoodport/fleet/state/metadata_store.h
@@ -5,6 +5,7 @@
 /// newest record of each key is kept for good. The adapter implements it.
 
 #include <functional>
+#include <msgpack.hpp>
 #include <optional>
 #include <string>
 #include <variant>
@@ -27,6 +28,8 @@
   std::uint64_t offset = 0;
   std::string key;
   std::optional<std::string> value;
+
+  MSGPACK_DEFINE_ARRAY(offset, key, value)
 };
 
 /// Records from the requested offset on; `end` is the offset that the next record will get.
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -21,6 +21,10 @@
 constexpr Duration kTakeOverStep{150'000};
 /// Time for which a new coordinator is left alone by the one that it replaced.
 constexpr Duration kAfterStepDown{4'000'000};
+/// Age of its knowledge of the store from which on a coordinator counts as cut off, and the age
+/// below which another instance may replace it.
+constexpr std::uint32_t kLostStoreMs = 3'500;
+constexpr Duration kReachedStore{2'000'000};
 /// Busiest buckets of keys that an instance reports.
 constexpr std::size_t kReportedBuckets = 64;
 /// After the order to stop, callers are still sent here for this long.
@@ -83,13 +87,22 @@
       peers_(loop, log, settings_.peers, settings_.peer_address, settings_.incarnation),
       coordinator_(MakePorts(), settings_.coordinator, settings_.peer_address),
       operators_(loop, store, log,
-                 {Feed::kOperators, "operators", settings_.operators_wait, Duration{0}},
+                 {Feed::kOperators, "operators", settings_.operators_wait, Duration{0},
+                  settings_.operators_push_silence},
                  [this](const std::vector<StoreRecord>& records, bool complete, bool /*away*/) {
                    OnOperators(records, complete);
+                 },
+                 [this](std::uint64_t from, std::uint64_t end, bool complete) {
+                   PushFeed(Feed::kOperators, from, end, complete);
                  }),
-      targets_(loop, store, log, {Feed::kTargets, "targets", Duration{0}, settings_.targets_pause},
+      targets_(loop, store, log,
+               {Feed::kTargets, "targets", Duration{0}, settings_.targets_pause,
+                settings_.targets_push_silence},
                [this](const std::vector<StoreRecord>& records, bool complete, bool was_away) {
                  OnTargets(records, complete, was_away);
+               },
+               [this](std::uint64_t from, std::uint64_t end, bool complete) {
+                 PushFeed(Feed::kTargets, from, end, complete);
                }),
       started_at_(loop.now()),
       leaderless_since_(loop.now()) {
@@ -99,6 +112,7 @@
   peers_.on_report = [this](const Peer& peer) { OnReport(peer); };
   peers_.on_prepare_load = [this](PeerLoad& load) { PrepareLoad(load); };
   peers_.on_load = [this](const PeerLoad& before, const PeerLoad& load) { OnLoad(before, load); };
+  peers_.on_feed = [this](const FeedPush& push) { OnFeedPush(push); };
   peers_.on_table = [this](const std::string& bytes) { OnTable(bytes); };
 }
 
@@ -139,6 +153,8 @@
 }
 
 void Instance::OnOperators(const std::vector<StoreRecord>& records, bool complete) {
+  std::vector<StoreRecord>& recent = recent_changes_[Feed::kOperators];
+  recent.insert(recent.end(), records.begin(), records.end());
   std::set<std::string> withdrawn = complete ? std::set<std::string>() : view_.withdrawn;
   for (const StoreRecord& it : records) {
     if (const auto data_centre = protocol_.WithdrawalKey(it.key)) {
@@ -194,9 +210,10 @@
 
 void Instance::OnTargets(const std::vector<StoreRecord>& records, bool complete, bool was_away) {
   std::set<std::string> present;
+  std::vector<StoreRecord>& recent = recent_changes_[Feed::kTargets];
   for (const StoreRecord& it : records) {
     present.insert(it.key);
-    ApplyTarget(it, was_away);
+    if (ApplyTarget(it, was_away)) recent.push_back(it);
   }
   if (complete) {
     std::vector<std::string> missing;
@@ -210,21 +227,25 @@
   forwarder_.Offer();
 }
 
-void Instance::ApplyTarget(const StoreRecord& record, bool was_away) {
+bool Instance::ApplyTarget(const StoreRecord& record, bool was_away) {
   const TimePoint now = loop_.now();
   if (!record.value) {
     const bool just_back = was_away || now - targets_.last_return_at() < settings_.entry_return;
-    OnTargetChange(record.key, view_.directory.Remove(record.key, now, just_back,
-                                                      settings_.entry_return));
-    return;
+    const TargetChange change =
+        view_.directory.Remove(record.key, now, just_back, settings_.entry_return);
+    OnTargetChange(record.key, change);
+    return change != TargetChange::kNone;
   }
   try {
     const TargetEntry entry = protocol_.ReadTarget(record.key, *record.value);
     target_names_[ShortHashOf(entry.id)] = entry.id;
-    OnTargetChange(entry.id, view_.directory.Apply(entry, now));
+    const TargetChange change = view_.directory.Apply(entry, now);
+    OnTargetChange(entry.id, change);
+    return change != TargetChange::kNone;
   } catch (const std::exception& e) {
     log_.Write(LogLevel::kWarning, "target_entry_unusable",
                {{"target", record.key}, {"offset", record.offset}, {"reason", e.what()}});
+    return false;
   }
 }
 
@@ -243,6 +264,37 @@
   view_.cold.Forget(id);
 }
 
+void Instance::PushFeed(Feed feed, std::uint64_t from, std::uint64_t end, bool complete) {
+  std::vector<StoreRecord>& recent = recent_changes_[feed];
+  // A complete read does not show what was removed, so the others have to read it themselves.
+  if (!coordinator_.leading() || complete) {
+    recent.clear();
+    last_push_from_.erase(feed);
+    return;
+  }
+  // The records of the push before are sent again, in case it was lost.
+  const auto last = last_push_from_.find(feed);
+  const std::uint64_t since = last == last_push_from_.end() ? from : last->second;
+  last_push_from_[feed] = from;
+  FeedPush push;
+  push.feed = static_cast<std::uint8_t>(feed);
+  push.from = since;
+  push.end = end;
+  for (const StoreRecord& it : recent) {
+    if (it.offset >= since) push.records.push_back(it);
+  }
+  recent = push.records;
+  const FeedReader& reader = feed == Feed::kOperators ? operators_ : targets_;
+  peers_.PushFeed(push, reader.verified_at());
+}
+
+void Instance::OnFeedPush(const FeedPush& push) {
+  if (coordinator_.leading()) return;
+  FeedReader& reader = static_cast<Feed>(push.feed) == Feed::kOperators ? operators_ : targets_;
+  reader.AcceptPush(push.from, push.end, TimePoint(Duration(push.verified_us)), push.records);
+  recent_changes_[static_cast<Feed>(push.feed)].clear();
+}
+
 void Instance::Register() {
   const nlohmann::json record = {{"data_centre", settings_.data_centre},
                                  {"incarnation", settings_.incarnation}};
@@ -417,6 +469,8 @@
   if (forwarder_.waiting() > 0) forwarder_.Offer();
   coordinator_.Tick();
   CheckCoordinator();
+  operators_.SetAlwaysReads(coordinator_.leading());
+  targets_.SetAlwaysReads(coordinator_.leading());
   if (now >= shares_at_) RefreshShares();
   if (now >= maintain_at_) MaintainConnections();
   if (now >= instances_at_ && peers_.reachable() == 0) {
@@ -430,12 +484,15 @@
 void Instance::CheckCoordinator() {
   const TimePoint now = loop_.now();
   if (coordinator_.leading() || coordinator_.taking_over() || stopping_) return;
+  const Duration own_store_age = now - operators_.verified_at();
   std::size_t rank = 0;
   bool has_coordinator = false;
   for (const auto& [address, peer] : peers_.peers()) {
     if (!peers_.Reachable(peer)) continue;
     const PeerReport& report = peer.report;
-    if (report.leading && !report.leaving &&
+    // A coordinator that has lost the store is replaced by an instance that reaches it.
+    const bool cut_off = report.store_age_ms > kLostStoreMs && own_store_age < kReachedStore;
+    if (report.leading && !report.leaving && !cut_off &&
         now - peer.heard_at <= settings_.coordinator_silence) {
       has_coordinator = true;
     }
--- a/packages/fleet/src/limits/account_limiter.cc
+++ b/packages/fleet/src/limits/account_limiter.cc
@@ -5,11 +5,14 @@
 namespace dogwoodport::fleet {
 namespace {
 
-/// Demand that every instance is taken to have in addition, in requests per second, so that one
-/// without recent requests can admit the first ones.
-constexpr double kDemandFloor = 0.5;
+/// Part of an account's demand that is shared out evenly, so that an instance without recent
+/// requests can admit the first ones.
+constexpr double kEvenPart = 0.2;
 /// Fewest tokens that an instance may keep, so that a small share can admit whole requests.
 constexpr double kSmallestCap = 1.0;
+/// While the demand of all instances is below this part of the rate, the shares are of no
+/// consequence, and an instance without a token goes into debt.
+constexpr double kRelaxedPart = 0.75;
 /// Bounds of the time that a refused caller is told to wait.
 constexpr Duration kShortestRetry{100'000};
 constexpr Duration kLongestRetry{2'000'000};
@@ -19,7 +22,9 @@
 double ShareOf(double own, double others, std::size_t reachable, std::size_t silent) noexcept {
   const auto active = static_cast<double>(reachable + 1);
   const double available = active / (active + static_cast<double>(silent));
-  return available * (own + kDemandFloor) / (own + others + active * kDemandFloor);
+  const double total = own + others;
+  if (total <= 0) return available / active;
+  return available * ((1 - kEvenPart) * own / total + kEvenPart / active);
 }
 
 bool AccountLimiter::Configure(const std::string& account, double rate, double burst) {
@@ -52,7 +57,21 @@
   entry.bucket.Update(now);  // Tokens up to now accrue at the old share.
   const double share =
       ShareOf(entry.demand.PerSecond(now), entry.others_demand, reachable_, silent_);
-  entry.bucket.Configure(entry.rate * share, std::max(kSmallestCap, entry.burst * share));
+  const double cap = std::max(kSmallestCap, entry.burst * share);
+  entry.bucket.Configure(entry.rate * share, cap);
+  if (entry.started) return;
+  entry.started = true;
+  entry.bucket.Add(std::max(kSmallestCap, entry.burst * EvenShare()));
+}
+
+double AccountLimiter::EvenShare() const noexcept {
+  return 1.0 / static_cast<double>(reachable_ + silent_ + 1);
+}
+
+bool AccountLimiter::MayGoIntoDebt(Entry& entry, TimePoint now) const {
+  const double demand = entry.demand.PerSecond(now) + entry.others_demand;
+  const double deepest = std::max(kSmallestCap, entry.burst * EvenShare());
+  return silent_ == 0 && demand < kRelaxedPart * entry.rate && entry.bucket.tokens() > 1 - deepest;
 }
 
 AccountLimiter::Decision AccountLimiter::Admit(const std::string& account, TimePoint now) {
@@ -63,6 +82,10 @@
   if (entry.rate <= 0) return {};
   Refresh(entry, now);
   if (entry.bucket.Take(now)) return {};
+  if (MayGoIntoDebt(entry, now)) {
+    entry.bucket.Add(-1);
+    return {};
+  }
   const double missing = 1 - entry.bucket.tokens();
   const double rate = std::max(entry.bucket.rate(), 0.01);
   return {false, std::clamp(FromSeconds(missing / rate), kShortestRetry, kLongestRetry)};
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -13,6 +13,7 @@
 constexpr char kReportKind = 'r';
 constexpr char kLoadKind = 'l';
 constexpr char kTableKind = 't';
+constexpr char kFeedKind = 'f';
 constexpr std::size_t kLargestDatagram = 65'000;
 /// Datagrams read in one round.
 constexpr int kReadsPerRound = 64;
@@ -115,11 +116,20 @@
     report.address = address_;
     report.incarnation = incarnation_;
     report.number = number_;
+    report.stamp_us = loop_.now().time_since_epoch().count();
     if (on_prepare) on_prepare(report, peer);
     SendTo(address, kReportKind, Pack(report));
   }
 }
 
+void PeerExchange::PushFeed(FeedPush push, TimePoint verified_at) {
+  for (const auto& [address, peer] : peers_) {
+    if (!Reachable(peer)) continue;
+    push.verified_us = peer.report.stamp_us + (verified_at - peer.heard_at).count();
+    SendTo(address, kFeedKind, Pack(push));
+  }
+}
+
 void PeerExchange::SendTable(const std::string& bytes) {
   for (const auto& [address, peer] : peers_) SendTo(address, kTableKind, bytes);
 }
@@ -157,6 +167,7 @@
   try {
     const std::string body(data + 1, size - 1);
     if (data[0] == kTableKind && on_table) on_table(body);
+    if (data[0] == kFeedKind && on_feed) on_feed(Unpack<FeedPush>(body));
     if (data[0] == kReportKind) ReceiveReport(Unpack<PeerReport>(body));
     if (data[0] == kLoadKind) ReceiveLoad(Unpack<PeerLoad>(body));
   } catch (const std::exception& e) {
--- a/packages/fleet/src/ownership/key_planner.cc
+++ b/packages/fleet/src/ownership/key_planner.cc
@@ -12,6 +12,9 @@
 /// that ranges without requests are spread too.
 constexpr double kBaseLoad = 0.1;
 
+/// Pieces that a plan may move whatever the number of targets.
+constexpr std::size_t kFewestMoves = 2;
+
 /// Load of all keys, by prefix sums.
 class LoadCurve {
  public:
@@ -80,7 +83,8 @@
     if (loads_.empty()) return ranges_;
     FollowRestarts();
     PlaceOrphans();
-    for (std::size_t i = 0; i < settings_.most_moves && MoveSurplus(); ++i) {
+    const auto most = static_cast<std::size_t>(settings_.most_moves * static_cast<double>(loads_.size()));
+    for (std::size_t i = 0; i < std::max(kFewestMoves, most) && MoveSurplus(); ++i) {
     }
     return ranges_;
   }
@@ -159,7 +163,8 @@
     const double surplus = from->load - mean * from->target->capacity;
     const double room = std::max(0.0, (from->relative() - to->relative()) / 2) * to->target->capacity;
     const double wanted = std::min(surplus, room);
-    if (wanted < settings_.smallest_surplus * curve_.total()) return false;
+    const double mean_load = curve_.total() / static_cast<double>(loads_.size());
+    if (wanted < settings_.smallest_surplus * mean_load) return false;
     return MovePiece(*from, *to, wanted);
   }
 
--- a/packages/fleet/src/state/feed_reader.cc
+++ b/packages/fleet/src/state/feed_reader.cc
@@ -8,20 +8,60 @@
 /// Pause after a failed read; doubles up to the longest.
 constexpr Duration kFirstRetry{100'000};
 constexpr Duration kLongestRetry{400'000};
+/// Time between checks whether the coordinator's parts of the feed still arrive.
+constexpr Duration kFollowCheck{150'000};
 /// Reads that fail for less than this are no outage: no target's entry can have expired meanwhile.
 constexpr Duration kShortOutage{500'000};
 
 }  // namespace
 
 FeedReader::FeedReader(net::EventLoop& loop, MetadataStore& store, EventLog& log,
-                       FeedSettings settings, Handler handler)
-    : loop_(loop), store_(store), log_(log), settings_(settings), handler_(std::move(handler)) {}
+                       FeedSettings settings, Handler handler, ReadObserver on_read)
+    : loop_(loop),
+      store_(store),
+      log_(log),
+      settings_(settings),
+      handler_(std::move(handler)),
+      on_read_(std::move(on_read)) {}
 
 FeedReader::~FeedReader() { loop_.Cancel(timer_); }
 
 void FeedReader::Start() { Next(); }
 
+bool FeedReader::Follows() const {
+  return !always_reads_ && loaded_ && loop_.now() - pushed_at_ < settings_.push_silence;
+}
+
+void FeedReader::ScheduleNext(Duration pause) {
+  loop_.Cancel(timer_);
+  timer_ = loop_.RunAfter(pause, [this] {
+    timer_ = net::TimerId{};
+    Next();
+  });
+}
+
+void FeedReader::AcceptPush(std::uint64_t from, std::uint64_t end, TimePoint verified_at,
+                            const std::vector<StoreRecord>& records) {
+  if (!loaded_ || from > next_offset_) return;  // A gap: the next own read fills it.
+  pushed_at_ = loop_.now();
+  std::vector<StoreRecord> fresh;
+  for (const StoreRecord& it : records) {
+    if (it.offset >= next_offset_) fresh.push_back(it);
+  }
+  if (end >= next_offset_) {
+    next_offset_ = end;
+    verified_at_ = std::max(verified_at_, verified_at);
+  }
+  if (!fresh.empty()) handler_(fresh, false, false);
+}
+
 void FeedReader::Next() {
+  if (reading_) return;
+  if (Follows()) {
+    ScheduleNext(kFollowCheck);
+    return;
+  }
+  reading_ = true;
   const TimePoint sent_at = loop_.Refresh();
   const bool complete = !loaded_;
   const auto done = [this, sent_at, complete,
@@ -36,18 +76,23 @@
 }
 
 void FeedReader::Handle(TimePoint sent_at, bool complete, const ReadOutcome& outcome) {
+  reading_ = false;
   Duration pause = settings_.pause;
+  const std::uint64_t from = next_offset_;
   if (const auto* const records = std::get_if<StoreRecords>(&outcome)) {
     const bool was_away = !available_ && loop_.now() - lost_at_ > kShortOutage;
     OnAvailable();
-    next_offset_ = records->end;
-    if (!complete && !records->records.empty()) {
-      next_offset_ = records->records.back().offset + 1;
-      if (next_offset_ < records->end) pause = Duration{0};
+    std::uint64_t next = records->end;
+    if (!complete && !records->records.empty()) next = records->records.back().offset + 1;
+    if (next < records->end) pause = Duration{0};
+    // A push may have gone further while the read was waiting.
+    if (complete || next >= next_offset_) {
+      next_offset_ = next;
+      if (next >= records->end) verified_at_ = std::max(verified_at_, sent_at);
+      loaded_ = true;
+      if (complete || !records->records.empty()) handler_(records->records, complete, was_away);
+      on_read_(from, next, complete);
     }
-    loaded_ = true;
-    verified_at_ = next_offset_ >= records->end ? sent_at : verified_at_;
-    if (complete || !records->records.empty()) handler_(records->records, complete, was_away);
   } else if (std::holds_alternative<StoreTrimmed>(outcome)) {
     OnAvailable();
     log_.Write(LogLevel::kWarning, "feed_trimmed",
@@ -58,10 +103,7 @@
     OnUnavailable(std::get<StoreUnavailable>(outcome));
     pause = std::min(kLongestRetry, kFirstRetry * (1 << std::min(failures_ - 1, 4U)));
   }
-  timer_ = loop_.RunAfter(pause, [this] {
-    timer_ = net::TimerId{};
-    Next();
-  });
+  ScheduleNext(pause);
 }
 
 void FeedReader::OnAvailable() {
