--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -78,6 +78,9 @@
   /// The process is about to stop: attempts that are under way are not replaced any more.
   void SetStopping() noexcept { stopping_ = true; }
 
+  /// Refuses all requests from now on, because the process may end before their answers.
+  void Close() noexcept { closed_ = true; }
+
   const ForwarderCounters& counters() const noexcept { return counters_; }
   std::size_t waiting() const;
   std::uint64_t connections_opened() const noexcept { return pool_.opened(); }
@@ -140,6 +143,7 @@
   ForwarderCounters counters_;
   bool offering_ = false;
   bool stopping_ = false;
+  bool closed_ = false;
 };
 
 }  // namespace dogwoodport::fleet
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -29,6 +29,8 @@
 constexpr std::size_t kReportedBuckets = 64;
 /// After the order to stop, callers are still sent here for this long.
 constexpr Duration kStillRouted{2'300'000};
+/// After the order to stop, requests are taken for this long; later ones might not be answered.
+constexpr Duration kTakesRequests{2'900'000};
 /// Time for the last answers to reach their callers before the process ends.
 constexpr Duration kLastAnswers{300'000};
 /// Part of the grace that is left for the end of the process.
@@ -146,6 +148,7 @@
   if (!stopping_) return;
   const Duration since = loop_.now() - stopping_at_;
   if (since >= kStillRouted && !callers_.draining()) callers_.Drain();
+  if (since >= kTakesRequests) forwarder_.Close();
   const bool open = callers_.open_requests() > 0 || callers_.open_connections() > 0;
   if (open || !callers_.draining()) drained_at_ = loop_.now();
   const bool drained = loop_.now() - drained_at_ >= kLastAnswers;
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -13,6 +13,8 @@
 
 /// Time to come back where nothing better is known.
 constexpr Duration kDefaultRetry{300'000};
+/// Time to come back to another instance after one that shuts down.
+constexpr Duration kShutDownRetry{50'000};
 /// Time of a request at a service that has not served any yet.
 constexpr Duration kUnknownLatency{100'000};
 /// Weight of the newest sample in the usual time of a service.
@@ -131,6 +133,10 @@
 bool Forwarder::Admit(Request& request) {
   request.config = view_.config;
   const net::HttpRequest& http = request.exchange->request();
+  if (closed_) {
+    Refuse(request, 503, Refusal::kShuttingDown, kShutDownRetry);
+    return false;
+  }
   if (!request.config) {
     Refuse(request, 503, Refusal::kNoConfiguration, kDefaultRetry);
     return false;
