--- a/packages/daemon/src/server.cc
+++ b/packages/daemon/src/server.cc
@@ -16,8 +16,8 @@
 #include "dogwoodport/daemon/target_prober.h"
 #include "dogwoodport/daemon/work_pool.h"
 #include "dogwoodport/gateway/detail/socket_guard.h"
-#include "dogwoodport/mesh/mesh.h"
 #include "dogwoodport/log_service/http_log_service.h"
+#include "dogwoodport/mesh/mesh.h"
 
 namespace dogwoodport {
 namespace {
--- a/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
@@ -45,7 +45,8 @@
   /// Returns a token whose request was not sent to a target.
   void Return(const std::string& account);
 
-  /// Requests per second that arrived here, refused ones included, by account.
+  /// Requests per second that arrived here, refused ones included, by account, for the next report
+  /// to the other instances. The shares go by what was reported last.
   std::vector<std::pair<std::string, double>> Demand(TimePoint now);
 
  private:
@@ -53,6 +54,8 @@
     double rate = 0;
     double burst = 0;
     double others_demand = 0;
+    /// Own demand as it was reported last.
+    double reported_demand = 0;
     RateMeter demand{Duration{2'000'000}};
     TokenBucket bucket;
     /// Whether the bucket got its first tokens.
--- a/packages/fleet/include/dogwoodport/fleet/limits/retry_budget.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/retry_budget.h
@@ -26,7 +26,9 @@
   explicit RetryBudget(RetryBound bound) : bound_(bound) {}
 
   /// Sets the number of instances that share the bound.
-  void SetInstances(std::size_t instances) noexcept { instances_ = std::max<std::size_t>(1, instances); }
+  void SetInstances(std::size_t instances) noexcept {
+    instances_ = std::max<std::size_t>(1, instances);
+  }
   /// Counts a request to `service`.
   void OnRequest(const std::string& service, TimePoint now);
   /// Takes the right to send one request once more.
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -42,8 +42,8 @@
   /// Busiest keys by service; sent to the coordinator only.
   std::vector<std::pair<std::uint64_t, std::vector<BucketRate>>> key_load;
 
-  MSGPACK_DEFINE_ARRAY(address, incarnation, number, stamp_us, data_centre, leading, leaving, store_age_ms,
-                       config_version, generation, revision, demand, key_load)
+  MSGPACK_DEFINE_ARRAY(address, incarnation, number, stamp_us, data_centre, leading, leaving,
+                       store_age_ms, config_version, generation, revision, demand, key_load)
 };
 
 /// Requests that an instance has in flight, by hash of the target. Sent more often than reports,
@@ -65,9 +65,11 @@
   std::uint64_t end = 0;
   /// The feed had no record beyond `end` at this time on the receiver's clock, in microseconds.
   std::int64_t verified_us = 0;
+  /// The store has returned only just, so that entries of targets that live may be missing.
+  bool store_was_away = false;
   std::vector<StoreRecord> records;
 
-  MSGPACK_DEFINE_ARRAY(feed, from, end, verified_us, records)
+  MSGPACK_DEFINE_ARRAY(feed, from, end, verified_us, store_was_away, records)
 };
 
 /// Another instance.
--- a/packages/fleet/include/dogwoodport/fleet/overload/waiting_queue.h
+++ b/packages/fleet/include/dogwoodport/fleet/overload/waiting_queue.h
@@ -15,8 +15,8 @@
 namespace dogwoodport::fleet {
 
 /// A request that waits. The owner of the request keeps it alive and removes it by `unlink`.
-struct Waiter : boost::intrusive::list_base_hook<
-                    boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+struct Waiter
+    : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
   /// 0 is the most urgent.
   int priority = 0;
   TimePoint arrived_at{};
--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -125,8 +125,7 @@
   void Refuse(Request& request, int status, Refusal refusal, Duration retry_after);
   void Finish(Request& request, net::HttpResponse response, const char* outcome);
   void OfferService(const std::string& service);
-  void LogRequest(LogLevel level, const char* event, const Request& request,
-                  nlohmann::json fields);
+  void LogRequest(LogLevel level, const char* event, const Request& request, nlohmann::json fields);
   TimePoint now() const noexcept { return loop_.now(); }
   double Random() { return std::uniform_real_distribution<double>()(random_); }
 
--- a/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
+++ b/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
@@ -20,7 +20,8 @@
   Duration wait{0};
   /// Time from the end of a read to the next one.
   Duration pause{0};
-  /// While parts of the feed arrive from the coordinator at least this often, the store is not read.
+  /// While parts of the feed arrive from the coordinator at least this often, the store is not
+  /// read.
   Duration push_silence{0};
 };
 
@@ -43,8 +44,9 @@
   void Start();
 
   /// Takes a part of the feed that the coordinator has read: the records from `from` up to `end`
-  /// that matter, dated on this instance's clock.
-  void AcceptPush(std::uint64_t from, std::uint64_t end, TimePoint verified_at,
+  /// that matter, dated on this instance's clock. `was_away` is what the coordinator saw of the
+  /// store; what this instance saw before does not count any more.
+  void AcceptPush(std::uint64_t from, std::uint64_t end, TimePoint verified_at, bool was_away,
                   const std::vector<StoreRecord>& records);
 
   /// Whether this instance reads the store itself in any case, because the others rely on it.
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -88,24 +88,26 @@
       caller_(loop, net::PoolLimits{}),
       peers_(loop, log, settings_.peers, settings_.peer_address, settings_.incarnation),
       coordinator_(MakePorts(), settings_.coordinator, settings_.peer_address),
-      operators_(loop, store, log,
-                 {Feed::kOperators, "operators", settings_.operators_wait, Duration{0},
-                  settings_.operators_push_silence},
-                 [this](const std::vector<StoreRecord>& records, bool complete, bool /*away*/) {
-                   OnOperators(records, complete);
-                 },
-                 [this](std::uint64_t from, std::uint64_t end, bool complete) {
-                   PushFeed(Feed::kOperators, from, end, complete);
-                 }),
-      targets_(loop, store, log,
-               {Feed::kTargets, "targets", Duration{0}, settings_.targets_pause,
-                settings_.targets_push_silence},
-               [this](const std::vector<StoreRecord>& records, bool complete, bool was_away) {
-                 OnTargets(records, complete, was_away);
-               },
-               [this](std::uint64_t from, std::uint64_t end, bool complete) {
-                 PushFeed(Feed::kTargets, from, end, complete);
-               }),
+      operators_(
+          loop, store, log,
+          {Feed::kOperators, "operators", settings_.operators_wait, Duration{0},
+           settings_.operators_push_silence},
+          [this](const std::vector<StoreRecord>& records, bool complete, bool /*away*/) {
+            OnOperators(records, complete);
+          },
+          [this](std::uint64_t from, std::uint64_t end, bool complete) {
+            PushFeed(Feed::kOperators, from, end, complete);
+          }),
+      targets_(
+          loop, store, log,
+          {Feed::kTargets, "targets", Duration{0}, settings_.targets_pause,
+           settings_.targets_push_silence},
+          [this](const std::vector<StoreRecord>& records, bool complete, bool was_away) {
+            OnTargets(records, complete, was_away);
+          },
+          [this](std::uint64_t from, std::uint64_t end, bool complete) {
+            PushFeed(Feed::kTargets, from, end, complete);
+          }),
       started_at_(loop.now()),
       leaderless_since_(loop.now()) {
   view_.data_centre = settings_.data_centre;
@@ -255,7 +257,8 @@
 void Instance::OnTargetChange(const std::string& id, TargetChange change) {
   if (change == TargetChange::kNone) return;
   log_.Write(LogLevel::kInfo, "target_changed",
-             {{"target", id}, {"change", NameOf(change)},
+             {{"target", id},
+              {"change", NameOf(change)},
               {"directory_version", view_.directory.version()}});
   if (change == TargetChange::kRestarted) view_.health[id].OnRestart();
   if (change == TargetChange::kGone) ForgetTarget(id);
@@ -288,13 +291,15 @@
   }
   recent = push.records;
   const FeedReader& reader = feed == Feed::kOperators ? operators_ : targets_;
+  push.store_was_away = loop_.now() - reader.last_return_at() < settings_.entry_return;
   peers_.PushFeed(push, reader.verified_at());
 }
 
 void Instance::OnFeedPush(const FeedPush& push) {
   if (coordinator_.leading()) return;
   FeedReader& reader = static_cast<Feed>(push.feed) == Feed::kOperators ? operators_ : targets_;
-  reader.AcceptPush(push.from, push.end, TimePoint(Duration(push.verified_us)), push.records);
+  reader.AcceptPush(push.from, push.end, TimePoint(Duration(push.verified_us)), push.store_was_away,
+                    push.records);
   recent_changes_[static_cast<Feed>(push.feed)].clear();
 }
 
@@ -325,8 +330,7 @@
   report.data_centre = settings_.data_centre;
   report.leading = coordinator_.leading();
   report.leaving = stopping_;
-  report.store_age_ms =
-      static_cast<std::uint32_t>((now - operators_.verified_at()).count() / 1000);
+  report.store_age_ms = static_cast<std::uint32_t>((now - operators_.verified_at()).count() / 1000);
   report.config_version = view_.config ? view_.config->version() : 0;
   report.generation = view_.keys.generation;
   report.revision = view_.keys.revision;
@@ -410,8 +414,7 @@
   ports.log = &log_;
   // A grant must not follow a decision that a suspension has made old.
   ports.now = [this] { return loop_.Refresh(); };
-  ports.call = [this](const std::string& address, const net::HttpRequest& request,
-                      Duration timeout,
+  ports.call = [this](const std::string& address, const net::HttpRequest& request, Duration timeout,
                       std::function<void(std::optional<net::HttpResponse>)> done) {
     caller_.Call(address, request, timeout, std::move(done));
   };
@@ -430,8 +433,7 @@
            view_.withdrawn.count(target.entry.data_centre) == 0;
   };
   ports.may_grow = [this](const Target& target) {
-    return view_.Usable(target, loop_.now()) && !target.cold(loop_.now()) &&
-           !target.doubtful_until;
+    return view_.Usable(target, loop_.now()) && !target.cold(loop_.now()) && !target.doubtful_until;
   };
   ports.on_table = [this](const KeyTable& table) {
     view_.keys = table;
--- a/packages/fleet/src/limits/account_limiter.cc
+++ b/packages/fleet/src/limits/account_limiter.cc
@@ -7,12 +7,16 @@
 
 /// Part of an account's demand that is shared out evenly, so that an instance without recent
 /// requests can admit the first ones.
-constexpr double kEvenPart = 0.2;
+constexpr double kEvenPart = 0.1;
 /// Fewest tokens that an instance may keep, so that a small share can admit whole requests.
 constexpr double kSmallestCap = 1.0;
+/// Tokens that an instance may owe at least while the account is far below its rate.
+constexpr double kSmallestDebt = 3.0;
 /// While the demand of all instances is below this part of the rate, the shares are of no
 /// consequence, and an instance without a token goes into debt.
-constexpr double kRelaxedPart = 0.75;
+constexpr double kRelaxedPart = 0.85;
+/// Demand below which an account is left out of the reports, in requests per second.
+constexpr double kReportedDemand = 0.01;
 /// Bounds of the time that a refused caller is told to wait.
 constexpr Duration kShortestRetry{100'000};
 constexpr Duration kLongestRetry{2'000'000};
@@ -55,8 +59,8 @@
 
 void AccountLimiter::Refresh(Entry& entry, TimePoint now) noexcept {
   entry.bucket.Update(now);  // Tokens up to now accrue at the old share.
-  const double share =
-      ShareOf(entry.demand.PerSecond(now), entry.others_demand, reachable_, silent_);
+  // The demand that the others know of: with a newer one the shares would add up to more than 1.
+  const double share = ShareOf(entry.reported_demand, entry.others_demand, reachable_, silent_);
   const double cap = std::max(kSmallestCap, entry.burst * share);
   entry.bucket.Configure(entry.rate * share, cap);
   if (entry.started) return;
@@ -70,8 +74,8 @@
 
 bool AccountLimiter::MayGoIntoDebt(Entry& entry, TimePoint now) const {
   const double demand = entry.demand.PerSecond(now) + entry.others_demand;
-  const double deepest = std::max(kSmallestCap, entry.burst * EvenShare());
-  return silent_ == 0 && demand < kRelaxedPart * entry.rate && entry.bucket.tokens() > 1 - deepest;
+  const double deepest = std::max(kSmallestDebt, entry.burst * EvenShare());
+  return silent_ == 0 && demand < kRelaxedPart * entry.rate && entry.bucket.tokens() > -deepest;
 }
 
 AccountLimiter::Decision AccountLimiter::Admit(const std::string& account, TimePoint now) {
@@ -99,8 +103,10 @@
 std::vector<std::pair<std::string, double>> AccountLimiter::Demand(TimePoint now) {
   std::vector<std::pair<std::string, double>> result;
   for (auto& [name, entry] : entries_) {
-    const double demand = entry.demand.PerSecond(now);
-    if (demand > 0.01) result.emplace_back(name, demand);
+    entry.reported_demand = entry.demand.PerSecond(now);
+    if (entry.reported_demand > kReportedDemand) {
+      result.emplace_back(name, entry.reported_demand);
+    }
   }
   return result;
 }
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -36,11 +36,7 @@
 
 PeerExchange::PeerExchange(net::EventLoop& loop, EventLog& log, PeerSettings settings,
                            const std::string& address, std::uint64_t incarnation)
-    : loop_(loop),
-      log_(log),
-      settings_(settings),
-      address_(address),
-      incarnation_(incarnation) {
+    : loop_(loop), log_(log), settings_(settings), address_(address), incarnation_(incarnation) {
   try {
     socket_.bind(Poco::Net::SocketAddress(address), true);
     socket_.setBlocking(false);
@@ -74,11 +70,11 @@
 }
 
 void PeerExchange::ScheduleLoad() {
-  load_timer_ = loop_.RunAfter(Interval(settings_.load_interval, settings_.most_loads_per_s),
-                               [this] {
-                                 SendLoad();
-                                 ScheduleLoad();
-                               });
+  load_timer_ =
+      loop_.RunAfter(Interval(settings_.load_interval, settings_.most_loads_per_s), [this] {
+        SendLoad();
+        ScheduleLoad();
+      });
 }
 
 void PeerExchange::SendLoad() {
@@ -195,7 +191,8 @@
   const TimePoint now = loop_.now();
   for (auto it = peers_.begin(); it != peers_.end();) {
     const TimePoint since = std::max(it->second.heard_at, it->second.known_since);
-    const bool left = it->second.heard && it->second.report.leaving && now - since > settings_.silence;
+    const bool left =
+        it->second.heard && it->second.report.leaving && now - since > settings_.silence;
     const Duration retention = it->second.heard ? settings_.retention : settings_.unheard_retention;
     if (now - since <= retention && !left) {
       ++it;
--- a/packages/fleet/src/overload/waiting_queue.cc
+++ b/packages/fleet/src/overload/waiting_queue.cc
@@ -19,7 +19,8 @@
                                       double random) {
   if (useful_wait <= Duration{0}) return RetryAfter(state, random);
   if (state.ahead < kAlwaysWait) return std::nullopt;
-  const double expected = static_cast<double>(state.ahead + 1) / std::max(1.0, state.completions_per_s);
+  const double expected =
+      static_cast<double>(state.ahead + 1) / std::max(1.0, state.completions_per_s);
   if (FromSeconds(expected) <= useful_wait) return std::nullopt;
   return RetryAfter(state, random);
 }
@@ -43,9 +44,8 @@
 }
 
 std::size_t WaitingQueue::Ahead(int priority) const {
-  return static_cast<std::size_t>(
-      std::count_if(waiters_.begin(), waiters_.end(),
-                    [&](const Waiter& it) { return it.priority <= priority; }));
+  return static_cast<std::size_t>(std::count_if(
+      waiters_.begin(), waiters_.end(), [&](const Waiter& it) { return it.priority <= priority; }));
 }
 
 std::size_t WaitingQueue::size() const { return waiters_.size(); }
--- a/packages/fleet/src/ownership/key_coordinator.cc
+++ b/packages/fleet/src/ownership/key_coordinator.cc
@@ -95,15 +95,14 @@
     MergeNeighbours(ranges);
   }
   const std::string bytes = Encode(table);
-  ports_.store->Append(
-      Feed::kOwnership, kTableKey, bytes, end,
-      Guarded(alive_, term_, [this, table](const AppendOutcome& outcome) {
-        if (const auto* const appended = std::get_if<Appended>(&outcome)) {
-          Lead(table, appended->offset);
-        } else {
-          StepDown("the take-over was not recorded");
-        }
-      }));
+  ports_.store->Append(Feed::kOwnership, kTableKey, bytes, end,
+                       Guarded(alive_, term_, [this, table](const AppendOutcome& outcome) {
+                         if (const auto* const appended = std::get_if<Appended>(&outcome)) {
+                           Lead(table, appended->offset);
+                         } else {
+                           StepDown("the take-over was not recorded");
+                         }
+                       }));
 }
 
 void KeyCoordinator::Lead(KeyTable table, std::uint64_t offset) {
@@ -283,8 +282,8 @@
       const auto taking = takings_.find(id);
       if (taking != takings_.end() && taking->second.holder_token == it.previous_token) continue;
       const KeyRange* const before = table_.Find(service, it.first);
-      const auto holding = before == nullptr ? holdings_.end()
-                                             : holdings_.find(RangeId(service, before->first));
+      const auto holding =
+          before == nullptr ? holdings_.end() : holdings_.find(RangeId(service, before->first));
       const bool confirmed = holding != holdings_.end() && holding->second.confirmed;
       takings_[id] = Taking{it.previous_token, false, false, "", FreeAt(it, confirmed), {}};
       moved_share_ += static_cast<double>(it.size()) / kKeyCount;
@@ -350,8 +349,11 @@
   if (!taking.released && (restarted || now >= taking.free_at)) {
     taking.released = true;
     Log(LogLevel::kInfo, "keys_free",
-        {{"service", service}, {"first", range.first}, {"last", range.last},
-         {"target", range.previous}, {"reason", restarted ? "restarted" : "lease_over"}});
+        {{"service", service},
+         {"first", range.first},
+         {"last", range.last},
+         {"target", range.previous},
+         {"reason", restarted ? "restarted" : "lease_over"}});
   }
   if (taking.released) {
     Holding& holding = holdings_[id];
@@ -378,8 +380,8 @@
   const RangeId id(service, range.first);
   // A release is answered when the work on its keys has ended, which may take as long as a request.
   const Duration timeout = std::max(settings_.call_timeout, taking.free_at - ports_.now());
-  ports_.call(previous->entry.address,
-              ports_.protocol->MakeRelease(previous->entry, grant), timeout,
+  ports_.call(previous->entry.address, ports_.protocol->MakeRelease(previous->entry, grant),
+              timeout,
               Guarded(alive_, term_, [this, id](const std::optional<net::HttpResponse>& response) {
                 const auto it = takings_.find(id);
                 if (it == takings_.end()) return;
--- a/packages/fleet/src/ownership/key_planner.cc
+++ b/packages/fleet/src/ownership/key_planner.cc
@@ -83,7 +83,8 @@
     if (loads_.empty()) return ranges_;
     FollowRestarts();
     PlaceOrphans();
-    const auto most = static_cast<std::size_t>(settings_.most_moves * static_cast<double>(loads_.size()));
+    const auto most =
+        static_cast<std::size_t>(settings_.most_moves * static_cast<double>(loads_.size()));
     for (std::size_t i = 0; i < std::max(kFewestMoves, most) && MoveSurplus(); ++i) {
     }
     return ranges_;
@@ -161,7 +162,8 @@
       return false;
     }
     const double surplus = from->load - mean * from->target->capacity;
-    const double room = std::max(0.0, (from->relative() - to->relative()) / 2) * to->target->capacity;
+    const double room =
+        std::max(0.0, (from->relative() - to->relative()) / 2) * to->target->capacity;
     const double wanted = std::min(surplus, room);
     const double mean_load = curve_.total() / static_cast<double>(loads_.size());
     if (wanted < settings_.smallest_surplus * mean_load) return false;
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -315,8 +315,8 @@
   result.load = health.Load(now());
   result.slots = target.entry.slots;
   result.own_in_flight = health.in_flight();
-  const Duration usual = health.latency() > Duration{0} ? health.latency()
-                                                       : UsualLatency(target.entry.service);
+  const Duration usual =
+      health.latency() > Duration{0} ? health.latency() : UsualLatency(target.entry.service);
   result.latency = FromSeconds(Seconds(usual) * health.Slowdown(now()));
   result.failure_share = health.failure_share();
   result.shed_share = health.shed_share();
@@ -329,7 +329,8 @@
   if (service.max_connections == 0 || pool_.IdleCount(target.entry.address) > 0) return true;
   const double share = service.max_connections * settings_.connection_share /
                        static_cast<double>(std::max<std::size_t>(1, view_.instances));
-  return pool_.Count(target.entry.address) < std::max<std::size_t>(1, static_cast<std::size_t>(share));
+  return pool_.Count(target.entry.address) <
+         std::max<std::size_t>(1, static_cast<std::size_t>(share));
 }
 
 void Forwarder::Send(Request& request, const Target& target) {
@@ -345,10 +346,10 @@
   request.connection = pool_.Acquire(target.entry.address);
   request.connection->Send(net::ToBytes(copy), copy.method == "HEAD", &request);
   TimePoint next = request.due_at;
-  if (request.idempotent() && request.sends < request.route->attempts &&
-      !request.service->keyed) {
+  if (request.idempotent() && request.sends < request.route->attempts && !request.service->keyed) {
     const Duration usual = UsualLatency(request.service->name);
-    const TimePoint last_chance = request.objective_at - FromSeconds(kTimeForAnother * Seconds(usual));
+    const TimePoint last_chance =
+        request.objective_at - FromSeconds(kTimeForAnother * Seconds(usual));
     const TimePoint patience = now() + FromSeconds(kShortestPatience * Seconds(usual));
     if (usual > Duration{0}) next = std::min(next, std::max(last_chance, patience));
   }
@@ -366,7 +367,8 @@
     it->second.OnResult(result, now() - request.sent_at, now());
     if (!was_ejected && it->second.ejected(now())) {
       log_.Write(LogLevel::kWarning, "target_ejected",
-                 {{"target", request.target_id}, {"request_id", request.caller.request_id},
+                 {{"target", request.target_id},
+                  {"request_id", request.caller.request_id},
                   {"failure_share", it->second.failure_share()}});
     }
   }
@@ -412,8 +414,8 @@
   request.denied_revision = view_.keys.revision;
   EndAttempt(request, misdirected ? SendResult::kCancelled : SendResult::kShed);
   if (!Repeat(request, true)) {
-    Refuse(request, request.may_have_run && !request.idempotent() ? 502 : 503,
-           Refusal::kOverloaded, kDefaultRetry);
+    Refuse(request, request.may_have_run && !request.idempotent() ? 502 : 503, Refusal::kOverloaded,
+           kDefaultRetry);
   }
 }
 
@@ -456,8 +458,7 @@
   if (request.ended) return;
   if (request.connection == nullptr) {
     const ServiceState& state = services_[request.service->name];
-    Refuse(request, request.may_have_run && !request.idempotent() ? 502 : 503,
-           Refusal::kOverloaded,
+    Refuse(request, request.may_have_run && !request.idempotent() ? 502 : 503, Refusal::kOverloaded,
            RetryAfter({state.queue.Ahead(request.priority), 1.0}, Random()));
     return;
   }
--- a/packages/fleet/src/routing/target_health.cc
+++ b/packages/fleet/src/routing/target_health.cc
@@ -1,6 +1,5 @@
 #include "dogwoodport/fleet/routing/target_health.h"
 
-
 #include <algorithm>
 #include <cmath>
 
@@ -54,7 +53,8 @@
 
 void TargetHealth::Eject(TimePoint now) {
   if (now < ejected_until_) return;
-  const Duration span = std::min(kLongestEjection, kFirstEjection * (1 << std::min(ejections_, 4U)));
+  const Duration span =
+      std::min(kLongestEjection, kFirstEjection * (1 << std::min(ejections_, 4U)));
   ++ejections_;
   ejected_until_ = now + span;
 }
@@ -85,8 +85,7 @@
 double TargetHealth::Load(TimePoint now) const noexcept {
   const double counted = in_flight_ + others_in_flight_;
   if (reported_at_ == TimePoint{}) return counted;
-  const double weight =
-      std::exp2(-Seconds(now - reported_at_) / Seconds(kReportHalfLife));
+  const double weight = std::exp2(-Seconds(now - reported_at_) / Seconds(kReportHalfLife));
   const double reported = report_.running + report_.waiting;
   return std::max<double>(in_flight_, counted + weight * std::max(0.0, reported - counted));
 }
--- a/packages/fleet/src/state/feed_reader.cc
+++ b/packages/fleet/src/state/feed_reader.cc
@@ -41,9 +41,11 @@
 }
 
 void FeedReader::AcceptPush(std::uint64_t from, std::uint64_t end, TimePoint verified_at,
-                            const std::vector<StoreRecord>& records) {
+                            bool was_away, const std::vector<StoreRecord>& records) {
   if (!loaded_ || from > next_offset_) return;  // A gap: the next own read fills it.
   pushed_at_ = loop_.now();
+  available_ = true;
+  failures_ = 0;
   std::vector<StoreRecord> fresh;
   for (const StoreRecord& it : records) {
     if (it.offset >= next_offset_) fresh.push_back(it);
@@ -52,7 +54,7 @@
     next_offset_ = end;
     verified_at_ = std::max(verified_at_, verified_at);
   }
-  if (!fresh.empty()) handler_(fresh, false, false);
+  if (!fresh.empty()) handler_(fresh, false, was_away);
 }
 
 void FeedReader::Next() {
--- a/packages/net/include/dogwoodport/net/connection_pool.h
+++ b/packages/net/include/dogwoodport/net/connection_pool.h
@@ -26,7 +26,8 @@
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
-  /// Returns an idle connection to `address`, the one used last, or a new one.
+  /// Returns an idle connection to `address`, the one used last, or a new one. The caller holds it
+  /// until its call has ended; dropping it closes the connection.
   ClientConnectionPtr Acquire(const std::string& address);
 
   /// Number of connections to `address`, idle or not.
--- a/packages/net/include/dogwoodport/net/http_server.h
+++ b/packages/net/include/dogwoodport/net/http_server.h
@@ -122,6 +122,8 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   ServerLimits& limits() noexcept { return limits_; }
+  /// "ip:port" on which the server listens; the port is the actual one if it was opened with 0.
+  std::string address() const { return socket_.address().toString(); }
 
   /// Lets each connection end after the answers to the requests that have arrived. Idle
   /// connections are closed; new ones are still accepted and closed after one request.
--- a/packages/net/src/connection_pool.cc
+++ b/packages/net/src/connection_pool.cc
@@ -15,7 +15,10 @@
 }  // namespace
 
 ConnectionPool::~ConnectionPool() {
-  for (auto& [address, bucket] : buckets_) CloseAll(std::move(bucket.idle));
+  // Closing a connection may erase its bucket.
+  const auto buckets = std::move(buckets_);
+  buckets_.clear();
+  for (const auto& [address, bucket] : buckets) CloseAll(bucket.idle);
 }
 
 bool ConnectionPool::Usable(const ClientConnection& connection) const {
@@ -72,8 +75,8 @@
   std::vector<ClientConnectionPtr> stale;
   for (auto& [address, bucket] : buckets_) {
     auto& idle = bucket.idle;
-    const auto first_stale = std::stable_partition(
-        idle.begin(), idle.end(), [this](const auto& it) { return Usable(*it); });
+    const auto first_stale = std::stable_partition(idle.begin(), idle.end(),
+                                                   [this](const auto& it) { return Usable(*it); });
     stale.insert(stale.end(), first_stale, idle.end());
     idle.erase(first_stale, idle.end());
   }
--- a/packages/net/src/http_message.cc
+++ b/packages/net/src/http_message.cc
@@ -5,13 +5,20 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
+#include <ostream>
 
 namespace dogwoodport::net {
 namespace {
 
-constexpr std::array<std::string_view, 9> kHopByHop = {
-    "connection", "keep-alive", "proxy-connection",  "proxy-authenticate", "proxy-authorization",
-    "te",         "trailer",    "transfer-encoding", "upgrade"};
+constexpr std::array<std::string_view, 9> kHopByHop = {"connection",
+                                                       "keep-alive",
+                                                       "proxy-connection",
+                                                       "proxy-authenticate",
+                                                       "proxy-authorization",
+                                                       "te",
+                                                       "trailer",
+                                                       "transfer-encoding",
+                                                       "upgrade"};
 
 boost::beast::string_view ToBeast(std::string_view text) noexcept {
   return {text.data(), text.size()};
--- a/packages/net/src/http_parser.cc
+++ b/packages/net/src/http_parser.cc
@@ -112,6 +112,9 @@
   void CheckHead() {
     request.keep_alive = keep_alive();
     request.has_body = chunked() || content_length().value_or(0) > 0;
+    if (request.method == "TRACE" || request.method == "CONNECT") {
+      Fail(405, "the method is not supported");
+    }
     const std::string* const coding = fields.Find("Transfer-Encoding");
     if (coding != nullptr && (!EqualNames(*coding, "chunked") || http_version < 11 ||
                               fields.Find("Content-Length") != nullptr)) {
@@ -127,9 +130,6 @@
       }
     }
     request.host = WithoutPort(request.host);
-    if (request.method == "TRACE" || request.method == "CONNECT") {
-      Fail(405, "the method is not supported");
-    }
     const std::string* const expect = fields.Find("Expect");
     expects_continue = expect != nullptr && EqualNames(*expect, "100-continue");
   }
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -124,9 +124,7 @@
 }
 
 ServerConnection::ServerConnection(HttpServer& server, const Poco::Net::StreamSocket& socket)
-    : server_(&server),
-      parser_(server.limits_.message),
-      last_activity_(server.loop_.now()) {
+    : server_(&server), parser_(server.limits_.message), last_activity_(server.loop_.now()) {
   stream_ = StreamPtr(new Stream(server.loop_, socket, this));
   ArmTimer();
 }
--- a/packages/net/src/stream.cc
+++ b/packages/net/src/stream.cc
@@ -125,8 +125,8 @@
 
 void Stream::Flush() {
   while (!output_.empty()) {
-    const ssize_t n = send(socket_.impl()->sockfd(), output_.data(), output_.size(),
-                           MSG_DONTWAIT | MSG_NOSIGNAL);
+    const ssize_t n =
+        send(socket_.impl()->sockfd(), output_.data(), output_.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     if (n > 0) {
       sent_bytes_ += static_cast<std::uint64_t>(n);
       output_.erase(0, static_cast<std::size_t>(n));
--- /dev/null
+++ b/tests/net/http_world.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dogwoodport/net/connection_pool.h"
+#include "dogwoodport/net/http_server.h"
+
+namespace dogwoodport::net {
+
+/// A server and raw clients on one event loop.
+class HttpWorld {
+ public:
+  HttpWorld()
+      : server(
+            loop, "127.0.0.1:0",
+            [this](const ExchangePtr& exchange) { exchanges.push_back(exchange); },
+            [](const RequestFault& fault) {
+              HttpResponse response;
+              response.status = fault.status;
+              return response;
+            }) {}
+
+  /// Runs the loop until `done` holds; returns whether it did within five seconds.
+  bool RunUntil(const std::function<bool()>& done) {
+    bool late = false;
+    TimerId limit = loop.RunAfter(std::chrono::seconds(5), [&] { late = true; });
+    if (!done()) {
+      loop.Run([&] {
+        if (late || done()) loop.Stop();
+      });
+    }
+    loop.Cancel(limit);
+    return done();
+  }
+
+  static HttpResponse Text(const std::string& body) {
+    HttpResponse response;
+    response.status = 200;
+    response.body = body;
+    return response;
+  }
+
+  EventLoop loop;
+  std::vector<ExchangePtr> exchanges;
+  HttpServer server;
+};
+
+/// Sends raw bytes and collects what comes back.
+class RawClient : public StreamHandler {
+ public:
+  RawClient(EventLoop& loop, const std::string& address)
+      : stream(new Stream(loop, address, this)) {}
+  ~RawClient() override { stream->Close(); }
+
+  void OnInput() override {
+    received += stream->input();
+    stream->input().clear();
+  }
+  void OnEnd(StreamEnd end) override {
+    ended = true;
+    how = end;
+  }
+
+  StreamPtr stream;
+  std::string received;
+  bool ended = false;
+  StreamEnd how = StreamEnd::kClosed;
+};
+
+}  // namespace dogwoodport::net
--- /dev/null
+++ b/tests/net/unit-http_client.cpp
@@ -0,0 +1,204 @@
+#include <catch2/catch.hpp>
+
+#include "net/http_world.h"
+
+namespace dogwoodport::net {
+namespace {
+
+/// Records the outcome of one call.
+struct Outcome : CallHandler {
+  void OnResponse(HttpResponse value) override { response = std::move(value); }
+  void OnFailure(CallFailure value) override { failure = value; }
+  bool Accepts(const HttpResponse& value) override {
+    const std::string* const id = value.fields.Find("X-Id");
+    return wanted_id.empty() || (id != nullptr && *id == wanted_id);
+  }
+  bool ended() const { return response || failure; }
+
+  std::string wanted_id;
+  std::optional<HttpResponse> response;
+  std::optional<CallFailure> failure;
+};
+
+/// A target that answers each connection's first bytes with fixed bytes.
+class ScriptedTarget : public Watcher {
+ public:
+  ScriptedTarget(EventLoop& loop, std::string script, bool close_after)
+      : loop_(loop), script_(std::move(script)), close_after_(close_after) {
+    socket_.bind(Poco::Net::SocketAddress("127.0.0.1:0"));
+    socket_.listen();
+    loop_.Watch(socket_, Poco::Net::PollSet::POLL_READ, this);
+  }
+  ~ScriptedTarget() override { loop_.Unwatch(socket_); }
+
+  std::string address() const { return socket_.address().toString(); }
+  void OnReadable() override {
+    connections_.push_back(std::make_unique<Connection>(*this, socket_.acceptConnection()));
+  }
+  void OnWritable() override {}
+  std::size_t connections() const { return connections_.size(); }
+  StreamEnd end(std::size_t i) const { return connections_[i]->how; }
+  bool ended(std::size_t i) const { return connections_[i]->ended; }
+
+ private:
+  struct Connection : StreamHandler {
+    Connection(ScriptedTarget& owner, const Poco::Net::StreamSocket& socket)
+        : target(owner), stream(new Stream(owner.loop_, socket, this)) {}
+    ~Connection() override { stream->Close(); }
+    void OnInput() override {
+      stream->input().clear();
+      stream->Write(target.script_);
+      if (target.close_after_) stream->Close();
+    }
+    void OnEnd(StreamEnd end) override {
+      ended = true;
+      how = end;
+    }
+    ScriptedTarget& target;
+    StreamPtr stream;
+    bool ended = false;
+    StreamEnd how = StreamEnd::kClosed;
+  };
+
+  EventLoop& loop_;
+  std::string script_;
+  bool close_after_;
+  Poco::Net::ServerSocket socket_;
+  std::vector<std::unique_ptr<Connection>> connections_;
+};
+
+std::string Answer(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+constexpr const char* kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+struct Script {
+  const char* what;
+  std::string bytes;
+  bool close_after;
+  std::string body;
+  std::optional<CallFailure> failure;
+  std::size_t idle;
+};
+
+TEST_CASE("only the whole answer to the own request is taken", "[http_client]") {
+  const auto script = GENERATE(values<Script>({
+      {"the answer", Answer("1", "ab"), false, "ab", {}, 1},
+      {"a late answer to another request first",
+       Answer("0", "x") + Answer("1", "ab"),
+       false,
+       "ab",
+       {},
+       0},
+      {"an interim response first",
+       "HTTP/1.1 102 Processing\r\n\r\n" + Answer("1", "ab"),
+       false,
+       "ab",
+       {},
+       1},
+      {"bytes after the answer", Answer("1", "ab") + "surplus", false, "ab", {}, 0},
+      {"no length, closed", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nab", true, "ab", {}, 0},
+      {"cut short", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nab", true, "",
+       CallFailure::kMalformed, 0},
+      {"no response", "nonsense\r\n\r\n", false, "", CallFailure::kMalformed, 0},
+      {"closed without an answer", "", true, "", CallFailure::kBroken, 0},
+      {"closed after another answer", Answer("0", "x"), true, "", CallFailure::kBroken, 0},
+  }));
+  INFO(script.what);
+  EventLoop loop;
+  ScriptedTarget target(loop, script.bytes, script.close_after);
+  ConnectionPool pool(loop, PoolLimits{});
+  Outcome outcome;
+  outcome.wanted_id = "1";
+  const ClientConnectionPtr connection = pool.Acquire(target.address());
+  connection->Send(kRequest, false, &outcome);
+  loop.RunAfter(std::chrono::seconds(5), [&] { loop.Stop(); });
+  loop.Run([&] {
+    if (outcome.ended()) loop.Stop();
+  });
+  CHECK(outcome.failure == script.failure);
+  if (!script.failure) {
+    REQUIRE(outcome.response);
+    CHECK(outcome.response->body == script.body);
+  }
+  CHECK(pool.IdleCount(target.address()) == script.idle);
+}
+
+TEST_CASE("a call that is given up is reset, so that it cannot arrive later", "[http_client]") {
+  EventLoop loop;
+  ScriptedTarget target(loop, "", false);
+  ConnectionPool pool(loop, PoolLimits{});
+  Outcome outcome;
+  const ClientConnectionPtr connection = pool.Acquire(target.address());
+  connection->Send(kRequest, false, &outcome);
+  loop.RunAfter(std::chrono::seconds(5), [&] { loop.Stop(); });
+  loop.RunAfter(std::chrono::milliseconds(50), [&] { connection->Abort(); });
+  loop.Run([&] {
+    if (target.connections() == 1 && target.ended(0)) loop.Stop();
+  });
+  REQUIRE(target.ended(0));
+  CHECK(target.end(0) == StreamEnd::kReset);
+  CHECK_FALSE(outcome.ended());
+  CHECK(pool.Count(target.address()) == 0);
+}
+
+TEST_CASE("nothing has left when there is no connection", "[http_client]") {
+  EventLoop loop;
+  std::string address;
+  {
+    const ScriptedTarget target(loop, "", false);
+    address = target.address();
+  }
+  ConnectionPool pool(loop, PoolLimits{});
+  Outcome outcome;
+  const ClientConnectionPtr connection = pool.Acquire(address);
+  connection->Send(kRequest, false, &outcome);
+  loop.RunAfter(std::chrono::seconds(5), [&] { loop.Stop(); });
+  loop.Run([&] {
+    if (outcome.ended()) loop.Stop();
+  });
+  CHECK(outcome.failure == CallFailure::kNotConnected);
+}
+
+TEST_CASE("connections are reused until they have been idle for too long", "[http_client]") {
+  EventLoop loop;
+  ScriptedTarget target(loop, Answer("1", "ab"), false);
+  PoolLimits limits;
+  limits.idle_timeout = std::chrono::milliseconds(30);
+  ConnectionPool pool(loop, limits);
+  const auto call = [&] {
+    Outcome outcome;
+    const ClientConnectionPtr connection = pool.Acquire(target.address());
+    connection->Send(kRequest, false, &outcome);
+    loop.Run([&] {
+      if (outcome.ended()) loop.Stop();
+    });
+  };
+  call();
+  call();
+  CHECK(pool.opened() == 1);
+  loop.RunAfter(std::chrono::milliseconds(60), [&] { loop.Stop(); });
+  loop.Run();
+  call();
+  CHECK(pool.opened() == 2);
+}
+
+TEST_CASE("a forwarded request has its length written anew", "[http_client]") {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/x";
+  request.fields.Add("Host", "a");
+  request.fields.Add("Transfer-Encoding", "chunked");
+  request.fields.Add("Connection", "close, X-Hop");
+  request.fields.Add("X-Hop", "1");
+  request.fields.Add("X-Kept", "2");
+  request.body = "abc";
+  request.has_body = true;
+  CHECK(ToBytes(request) ==
+        "POST /x HTTP/1.1\r\nHost: a\r\nX-Kept: 2\r\nContent-Length: 3\r\n\r\nabc");
+}
+
+}  // namespace
+}  // namespace dogwoodport::net
--- /dev/null
+++ b/tests/net/unit-http_parser.cpp
@@ -0,0 +1,125 @@
+#include <catch2/catch.hpp>
+
+#include "dogwoodport/net/http_parser.h"
+
+namespace dogwoodport::net {
+namespace {
+
+constexpr const char* kHost = "Host: a.example\r\n";
+
+struct BadRequest {
+  const char* what;
+  std::string bytes;
+  int status;
+};
+
+std::string Get(const std::string& fields) {
+  return "GET /x HTTP/1.1\r\n" + std::string(kHost) + fields + "\r\n";
+}
+
+TEST_CASE("requests that two readers may read differently are refused", "[http_parser]") {
+  const auto bad = GENERATE(values<BadRequest>({
+      {"space before the colon", Get("Transfer-Encoding : chunked\r\n"), 400},
+      {"length and chunks", Get("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n"), 400},
+      {"two lengths", Get("Content-Length: 3\r\nContent-Length: 4\r\n"), 400},
+      {"a negative length", Get("Content-Length: -3\r\n"), 400},
+      {"a signed length", Get("Content-Length: +3\r\n"), 400},
+      {"another coding", Get("Transfer-Encoding: gzip, chunked\r\n"), 400},
+      {"chunks in HTTP/1.0",
+       "GET /x HTTP/1.0\r\n" + std::string(kHost) + "Transfer-Encoding: chunked\r\n\r\n", 400},
+      {"a folded line", Get("X-A: b\r\n c\r\n"), 400},
+      {"a line folded by a tab", Get("X-A: b\r\n\tc\r\n"), 400},
+      {"a NUL byte", Get(std::string("X-A: b\0c\r\n", 10)), 400},
+      {"a bare line feed after the version", "GET /x HTTP/1.1\nHost: a\n\n", 505},
+      {"a bare line feed", "GET /x HTTP/1.1\r\nHost: a\nX: b\r\n\r\n", 400},
+      {"no host", "GET /x HTTP/1.1\r\n\r\n", 400},
+      {"two hosts", Get(kHost), 400},
+      {"TRACE", "TRACE /x HTTP/1.1\r\nHost: a\r\n\r\n", 405},
+      {"CONNECT", "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", 405},
+      {"a target that is no path", "GET x HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+      {"HTTP/2.0", "GET /x HTTP/2.0\r\nHost: a\r\n\r\n", 505},
+      {"a large header section", Get("X-A: " + std::string(1'000'000, 'a') + "\r\n"), 431},
+      {"a large body", Get("Content-Length: 2000\r\n"), 413},
+  }));
+  INFO(bad.what);
+  RequestParser parser(MessageLimits{16 * 1024, 1'000});
+  parser.Put(bad.bytes);
+  REQUIRE(parser.fault());
+  CHECK(parser.fault()->status == bad.status);
+}
+
+TEST_CASE("a request may arrive in any pieces", "[http_parser]") {
+  const std::string bytes =
+      "POST /a/b?c=d HTTP/1.1\r\nHost: a.example:80\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
+  const auto piece = GENERATE(range(1, 40));
+  RequestParser parser(MessageLimits{});
+  std::string buf;
+  for (std::size_t at = 0; at < bytes.size(); at += static_cast<std::size_t>(piece)) {
+    buf += bytes.substr(at, static_cast<std::size_t>(piece));
+    buf.erase(0, parser.Put(buf));
+    REQUIRE_FALSE(parser.fault());
+  }
+  REQUIRE(parser.complete());
+  const HttpRequest request = parser.Take();
+  CHECK(request.method == "POST");
+  CHECK(request.target == "/a/b?c=d");
+  CHECK(request.host == "a.example");
+  CHECK(request.body == "abcde");
+  CHECK(request.keep_alive);
+}
+
+TEST_CASE("bytes beyond a message stay", "[http_parser]") {
+  RequestParser parser(MessageLimits{});
+  const std::string one = Get("");
+  CHECK(parser.Put(one + one) == one.size());
+  CHECK(parser.complete());
+}
+
+TEST_CASE("an absolute target names the host", "[http_parser]") {
+  RequestParser parser(MessageLimits{});
+  parser.Put("GET http://b.example:8080/x?y HTTP/1.1\r\nHost: a.example\r\n\r\n");
+  REQUIRE(parser.complete());
+  REQUIRE_FALSE(parser.fault());
+  const HttpRequest request = parser.Take();
+  CHECK(request.host == "b.example");
+  CHECK(request.target == "/x?y");
+}
+
+struct Answer {
+  const char* what;
+  std::string bytes;
+  bool closed;
+  bool complete;
+  bool failed;
+};
+
+TEST_CASE("only whole responses count", "[http_parser]") {
+  const auto answer = GENERATE(values<Answer>({
+      {"with a length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", false, true, false},
+      {"cut short", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", true, false, true},
+      {"until the close", "HTTP/1.1 200 OK\r\n\r\nab", true, true, false},
+      {"not closed yet", "HTTP/1.1 200 OK\r\n\r\nab", false, false, false},
+      {"no response", "hello\r\n\r\n", false, false, true},
+      {"cut in the head", "HTTP/1.1 200 OK\r\nConte", true, false, true},
+      {"chunks cut short", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", true,
+       false, true},
+      {"another coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", false, false, true},
+  }));
+  INFO(answer.what);
+  ResponseParser parser(MessageLimits{}, false);
+  parser.Put(answer.bytes);
+  if (answer.closed) parser.PutEnd();
+  CHECK(parser.complete() == answer.complete);
+  CHECK(parser.failed() == answer.failed);
+}
+
+TEST_CASE("hop-by-hop fields are recognised", "[http_parser]") {
+  CHECK(IsHopByHop("connection", ""));
+  CHECK(IsHopByHop("Transfer-Encoding", ""));
+  CHECK(IsHopByHop("X-Private", "close, x-private"));
+  CHECK_FALSE(IsHopByHop("X-Public", "close, x-private"));
+}
+
+}  // namespace
+}  // namespace dogwoodport::net
--- /dev/null
+++ b/tests/net/unit-http_server.cpp
@@ -0,0 +1,124 @@
+#include <catch2/catch.hpp>
+
+#include "net/http_world.h"
+
+namespace dogwoodport::net {
+namespace {
+
+std::string Get(const std::string& path, const std::string& fields = "") {
+  return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n";
+}
+
+TEST_CASE("pipelined requests are all answered, in their order", "[http_server]") {
+  HttpWorld world;
+  RawClient client(world.loop, world.server.address());
+  client.stream->Write(Get("/1") + Get("/2") + Get("/3"));
+  REQUIRE(world.RunUntil([&] { return world.exchanges.size() == 3; }));
+  world.exchanges[2]->Respond(HttpWorld::Text("third"));
+  world.exchanges[0]->Respond(HttpWorld::Text("first"));
+  CHECK(client.received.empty());
+  world.exchanges[1]->Respond(HttpWorld::Text("second"));
+  REQUIRE(world.RunUntil([&] { return client.received.find("third") != std::string::npos; }));
+  CHECK(client.received.find("first") < client.received.find("second"));
+  CHECK(client.received.find("second") < client.received.find("third"));
+  CHECK(world.server.open_requests() == 0);
+}
+
+TEST_CASE("a caller that leaves is noticed before the answer", "[http_server]") {
+  HttpWorld world;
+  auto client = std::make_unique<RawClient>(world.loop, world.server.address());
+  client->stream->Write(Get("/1"));
+  REQUIRE(world.RunUntil([&] { return world.exchanges.size() == 1; }));
+  bool abandoned = false;
+  world.exchanges[0]->set_on_abandoned([&] { abandoned = true; });
+  client.reset();
+  CHECK(world.RunUntil([&] { return abandoned; }));
+  CHECK(world.server.open_requests() == 0);
+  world.exchanges[0]->Respond(HttpWorld::Text("late"));
+}
+
+TEST_CASE("a drain lets open requests end and closes idle connections", "[http_server]") {
+  HttpWorld world;
+  RawClient busy(world.loop, world.server.address());
+  RawClient idle(world.loop, world.server.address());
+  busy.stream->Write(Get("/1"));
+  REQUIRE(world.RunUntil(
+      [&] { return world.exchanges.size() == 1 && world.server.open_connections() == 2; }));
+  world.server.Drain();
+  REQUIRE(world.RunUntil([&] { return idle.ended; }));
+  CHECK_FALSE(busy.ended);
+  world.exchanges[0]->Respond(HttpWorld::Text("done"));
+  REQUIRE(world.RunUntil([&] { return busy.ended; }));
+  CHECK(busy.how == StreamEnd::kClosed);
+  CHECK(busy.received.find("Connection: close") != std::string::npos);
+  CHECK(busy.received.find("done") != std::string::npos);
+}
+
+TEST_CASE("a new connection takes the place of the one that was idle for longest",
+          "[http_server]") {
+  HttpWorld world;
+  world.server.limits().connections = 2;
+  RawClient first(world.loop, world.server.address());
+  REQUIRE(world.RunUntil([&] { return world.server.open_connections() == 1; }));
+  RawClient second(world.loop, world.server.address());
+  REQUIRE(world.RunUntil([&] { return world.server.open_connections() == 2; }));
+  first.stream->Write(Get("/1"));
+  REQUIRE(world.RunUntil([&] { return world.exchanges.size() == 1; }));
+  RawClient third(world.loop, world.server.address());
+  REQUIRE(world.RunUntil([&] { return second.ended; }));
+  CHECK_FALSE(first.ended);
+  third.stream->Write(Get("/3"));
+  CHECK(world.RunUntil([&] { return world.exchanges.size() == 2; }));
+}
+
+TEST_CASE("under pressure connections end after a refusal", "[http_server]") {
+  const auto refused = GENERATE(true, false);
+  HttpWorld world;
+  world.server.limits().connections = 2;
+  RawClient client(world.loop, world.server.address());
+  client.stream->Write(Get("/1"));
+  REQUIRE(world.RunUntil([&] { return world.exchanges.size() == 1; }));
+  HttpResponse response = HttpWorld::Text("x");
+  response.status = refused ? 503 : 200;
+  world.exchanges[0]->Respond(response);
+  REQUIRE(world.RunUntil([&] { return client.received.find("\r\n\r\nx") != std::string::npos; }));
+  CHECK((client.received.find("Connection: close") != std::string::npos) == refused);
+}
+
+TEST_CASE("a header section that does not arrive in time is answered", "[http_server]") {
+  HttpWorld world;
+  world.server.limits().header_timeout = std::chrono::milliseconds(50);
+  RawClient client(world.loop, world.server.address());
+  client.stream->Write("GET / HT");
+  REQUIRE(world.RunUntil([&] { return client.ended; }));
+  CHECK(client.received.find("HTTP/1.1 408") == 0);
+}
+
+TEST_CASE("a response to HEAD keeps the length and has no body", "[http_server]") {
+  HttpWorld world;
+  RawClient client(world.loop, world.server.address());
+  client.stream->Write("HEAD / HTTP/1.1\r\nHost: a\r\n\r\n" + Get("/2"));
+  REQUIRE(world.RunUntil([&] { return world.exchanges.size() == 2; }));
+  HttpResponse response;
+  response.status = 200;
+  response.fields.Add("Content-Length", "17");
+  world.exchanges[0]->Respond(response);
+  world.exchanges[1]->Respond(HttpWorld::Text("second"));
+  REQUIRE(world.RunUntil([&] { return client.received.find("second") != std::string::npos; }));
+  CHECK(client.received.find("Content-Length: 17\r\n\r\nHTTP/1.1 200") != std::string::npos);
+}
+
+TEST_CASE("a caller that waits for 100 Continue gets it", "[http_server]") {
+  HttpWorld world;
+  RawClient client(world.loop, world.server.address());
+  client.stream->Write(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n");
+  REQUIRE(
+      world.RunUntil([&] { return client.received.find("100 Continue") != std::string::npos; }));
+  client.stream->Write("abc");
+  REQUIRE(world.RunUntil([&] { return world.exchanges.size() == 1; }));
+  CHECK(world.exchanges[0]->request().body == "abc");
+}
+
+}  // namespace
+}  // namespace dogwoodport::net
