--- /dev/null
+++ b/tests/fleet/unit-routing.cpp
@@ -0,0 +1,232 @@
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "dogwoodport/fleet/membership/target_directory.h"
+#include "dogwoodport/fleet/overload/waiting_queue.h"
+#include "dogwoodport/fleet/routing/target_health.h"
+#include "dogwoodport/fleet/routing/target_selector.h"
+
+namespace dogwoodport::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(int ms) { return TimePoint(Duration(1'000'000'000 + ms * 1'000)); }
+
+Candidate Free(int latency_ms) {
+  Candidate it;
+  it.slots = 4;
+  it.latency = milliseconds(latency_ms);
+  return it;
+}
+
+struct Choice {
+  const char* what;
+  std::vector<Candidate> candidates;
+  std::optional<std::size_t> best;
+};
+
+Candidate With(Candidate it, const std::function<void(Candidate&)>& change) {
+  change(it);
+  return it;
+}
+
+TEST_CASE("the target with the shortest expected answer is chosen", "[routing]") {
+  const auto choice = GENERATE(values<Choice>({
+      {"the faster one", {Free(100), Free(50)}, 1},
+      {"the one with room", {With(Free(50), [](Candidate& c) { c.load = 4; }), Free(200)}, 1},
+      {"none when all are full", {With(Free(50), [](Candidate& c) { c.load = 3.5; })}, {}},
+      {"none without candidates", {}, {}},
+      {"the near one",
+       {With(Free(100), [](Candidate& c) { c.same_data_centre = false; }), Free(95)},
+       1},
+      {"a far one that is much faster",
+       {With(Free(30), [](Candidate& c) { c.same_data_centre = false; }), Free(150)},
+       0},
+      {"the one that does not fail",
+       {With(Free(50), [](Candidate& c) { c.failure_share = 0.5; }), Free(100)},
+       1},
+      {"the one that does not shed",
+       {With(Free(50), [](Candidate& c) { c.shed_share = 0.9; }), Free(100)},
+       1},
+      {"the one with an open connection",
+       {With(Free(50), [](Candidate& c) { c.has_idle_connection = false; }), Free(50)},
+       1},
+  }));
+  INFO(choice.what);
+  for (std::uint64_t random = 0; random < 20; ++random) {
+    CHECK(SelectTarget(choice.candidates, milliseconds(100), SelectorSettings{}, random * 7919) ==
+          choice.best);
+  }
+}
+
+TEST_CASE("equal targets share the requests of many instances", "[routing]") {
+  const std::vector<Candidate> candidates(4, Free(50));
+  std::vector<int> chosen(4, 0);
+  std::mt19937_64 random(1);
+  for (int i = 0; i < 4000; ++i) {
+    ++chosen[*SelectTarget(candidates, milliseconds(50), SelectorSettings{}, random())];
+  }
+  for (const int n : chosen) CHECK(n > 800);
+}
+
+TEST_CASE("a target is ejected after failures in a row and taken back", "[routing]") {
+  TargetHealth health;
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(health.ejected(At(i)));
+    health.OnSend();
+    health.OnResult(SendResult::kBroken, milliseconds(1), At(i));
+  }
+  CHECK(health.ejected(At(3)));
+  CHECK_FALSE(health.ejected(At(1'000)));
+  health.OnSend();
+  health.OnResult(SendResult::kBroken, milliseconds(1), At(1'000));
+  CHECK(health.ejected(At(1'900)));
+  health.OnRestart();
+  CHECK_FALSE(health.ejected(At(1'900)));
+  CHECK(health.in_flight() == 0);
+}
+
+TEST_CASE("a target that cannot be reached is ejected at once", "[routing]") {
+  TargetHealth health;
+  health.OnSend();
+  health.OnResult(SendResult::kNotConnected, Duration{0}, At(0));
+  CHECK(health.ejected(At(1)));
+}
+
+TEST_CASE("a caller that leaves and a refusal for lack of room eject nobody", "[routing]") {
+  const auto result = GENERATE(SendResult::kCancelled, SendResult::kShed);
+  TargetHealth health;
+  for (int i = 0; i < 20; ++i) {
+    health.OnSend();
+    health.OnResult(result, milliseconds(1), At(i));
+  }
+  CHECK_FALSE(health.ejected(At(20)));
+}
+
+TEST_CASE("the load of a target counts what others report and forgets old reports", "[routing]") {
+  TargetHealth health;
+  health.OnSend();
+  health.AddOthersInFlight(2);
+  CHECK(health.Load(At(0)) == 3);
+  health.OnLoadReport({4, 3, 4, 3.0}, At(0));
+  CHECK(health.Load(At(0)) == 7);
+  CHECK(health.Load(At(2'000)) == Approx(3).margin(0.01));
+  CHECK(health.Slowdown(At(0)) == 3.0);
+  CHECK(health.Slowdown(At(2'000)) == Approx(1).margin(0.02));
+  health.AddOthersInFlight(-5);
+  CHECK(health.Load(At(2'000)) == Approx(1).margin(0.01));
+}
+
+TargetEntry Entry(std::uint64_t incarnation, std::uint64_t sequence) {
+  TargetEntry entry;
+  entry.id = "t";
+  entry.incarnation = incarnation;
+  entry.sequence = sequence;
+  return entry;
+}
+
+TEST_CASE("heartbeats change the directory in their order", "[routing]") {
+  TargetDirectory directory;
+  CHECK(directory.Apply(Entry(1, 5), At(0)) == TargetChange::kJoined);
+  CHECK(directory.Apply(Entry(1, 6), At(1)) == TargetChange::kNone);
+  TargetEntry leaving = Entry(1, 7);
+  leaving.phase = TargetPhase::kDraining;
+  CHECK(directory.Apply(leaving, At(2)) == TargetChange::kLeaving);
+  CHECK(directory.Apply(Entry(1, 6), At(3)) == TargetChange::kNone);
+  CHECK(directory.Find("t")->entry.phase == TargetPhase::kDraining);
+  TargetEntry reborn = Entry(2, 0);
+  reborn.cold_for = milliseconds(3'000);
+  CHECK(directory.Apply(reborn, At(4)) == TargetChange::kRestarted);
+  CHECK(directory.Find("t")->cold(At(3'000)));
+  CHECK_FALSE(directory.Find("t")->cold(At(3'004)));
+}
+
+TEST_CASE("an entry that goes while the store was away is doubtful until it is back or late",
+          "[routing]") {
+  TargetDirectory directory;
+  directory.Apply(Entry(1, 5), At(0));
+  CHECK(directory.Remove("t", At(10), true, milliseconds(2'000)) == TargetChange::kDoubtful);
+  CHECK(directory.Expire(At(1'000)).empty());
+  SECTION("it comes back") {
+    CHECK(directory.Apply(Entry(1, 9), At(1'500)) == TargetChange::kChanged);
+    CHECK(directory.Expire(At(5'000)).empty());
+  }
+  SECTION("it does not") {
+    CHECK(directory.Expire(At(2'010)) == std::vector<std::string>{"t"});
+    CHECK(directory.Find("t") == nullptr);
+  }
+}
+
+TEST_CASE("an entry that goes at other times is gone at once", "[routing]") {
+  TargetDirectory directory;
+  directory.Apply(Entry(1, 5), At(0));
+  CHECK(directory.Remove("t", At(10), false, milliseconds(2'000)) == TargetChange::kGone);
+  CHECK(directory.Remove("t", At(10), false, milliseconds(2'000)) == TargetChange::kNone);
+}
+
+struct Arrival {
+  const char* what;
+  QueueState queue;
+  Duration useful;
+  bool refused;
+};
+
+TEST_CASE("what cannot be served in time is refused at once", "[routing]") {
+  const auto it = GENERATE(values<Arrival>({
+      {"no time left", {0, 100}, Duration{0}, true},
+      {"an empty queue", {0, 0}, milliseconds(50), false},
+      {"a queue that empties in time", {9, 100}, milliseconds(120), false},
+      {"a queue that does not", {20, 100}, milliseconds(120), true},
+      {"nothing completes", {5, 0}, milliseconds(500), true},
+  }));
+  INFO(it.what);
+  const auto refusal = DecideRefusal(it.queue, it.useful, 0.5);
+  CHECK(refusal.has_value() == it.refused);
+  if (refusal) CHECK(*refusal >= milliseconds(100));
+}
+
+TEST_CASE("returns are spread and later behind a longer queue", "[routing]") {
+  CHECK(RetryAfter({50, 100}, 0.0) < RetryAfter({50, 100}, 0.9));
+  CHECK(RetryAfter({10, 100}, 0.5) < RetryAfter({90, 100}, 0.5));
+  CHECK(RetryAfter({100'000, 1}, 1.0) <= milliseconds(1'500));
+}
+
+TEST_CASE("the most urgent request goes first, equal ones in their order", "[routing]") {
+  WaitingQueue queue;
+  std::vector<Waiter> waiters(4);
+  const std::vector<int> priorities = {2, 1, 2, 0};
+  for (std::size_t i = 0; i < 4; ++i) {
+    waiters[i].priority = priorities[i];
+    queue.Push(waiters[i]);
+  }
+  CHECK(queue.Ahead(1) == 2);
+  std::vector<std::size_t> order;
+  queue.Offer(
+      [&](Waiter& it) {
+        order.push_back(static_cast<std::size_t>(&it - waiters.data()));
+        it.unlink();
+        return true;
+      },
+      8);
+  CHECK(order == std::vector<std::size_t>{3, 1, 0, 2});
+  CHECK(queue.empty());
+}
+
+TEST_CASE("a round of offers ends after some misses", "[routing]") {
+  WaitingQueue queue;
+  std::vector<Waiter> waiters(10);
+  for (Waiter& it : waiters) queue.Push(it);
+  int offers = 0;
+  queue.Offer(
+      [&](Waiter&) {
+        ++offers;
+        return false;
+      },
+      3);
+  CHECK(offers == 3);
+  CHECK(queue.size() == 10);
+}
+
+}  // namespace
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/tests/platform/unit-records.cpp
@@ -0,0 +1,164 @@
+#include <catch2/catch.hpp>
+
+#include "dogwoodport/platform/settings.h"
+#include "dogwoodport/platform/store_client.h"
+#include "dogwoodport/platform/wire_protocol.h"
+
+namespace dogwoodport::platform {
+namespace {
+
+constexpr const char* kEntry =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,"state":"ready",)"
+    R"("coldRemaining":"1500ms","sequence":4,"born":1790000000000})";
+
+TEST_CASE("a heartbeat is decoded into a target", "[records]") {
+  const fleet::TargetEntry entry = WireProtocol().ReadTarget("i-1", kEntry);
+  CHECK(entry.id == "i-1");
+  CHECK(entry.service == "s");
+  CHECK(entry.data_centre == "z");
+  CHECK(entry.slots == 6);
+  CHECK(entry.phase == fleet::TargetPhase::kReady);
+  CHECK(entry.cold_for == std::chrono::milliseconds(1500));
+  CHECK(entry.incarnation == 1'790'000'000'000);
+}
+
+TEST_CASE("a heartbeat of another writer names no target", "[records]") {
+  const auto text = GENERATE(values<std::string>({
+      "",
+      "{",
+      "[]",
+      "\xff\xfe",
+      "{}",
+      R"({"service":"s"})",
+      R"({"service":"s","address":"a:1","zone":"z","slots":0,"state":"ready","sequence":1})",
+      R"({"service":"s","address":"a:1","zone":"z","slots":"6","state":"ready","sequence":1})",
+      R"({"service":"s","address":"a:1","zone":"z","slots":6,"state":"odd","sequence":1})",
+      R"({"service":"s","address":"a:1","zone":"z","slots":6,"state":"ready","sequence":1,"born":1.5})",
+      R"({"service":7,"address":"a:1","zone":"z","slots":6,"state":"ready","sequence":1})",
+  }));
+  INFO(text);
+  CHECK_THROWS(WireProtocol().ReadTarget("i-1", text));
+}
+
+constexpr const char* kConfig =
+    R"({"version":7,"services":[{"name":"s","maxConnections":63,"coldStart":"3s","coldPerS":21.0},)"
+    R"({"name":"k","sharded":true}],"limits":{"maxHeaderBytes":1000,"idleTimeout":"15s"},)"
+    R"("tenants":[{"name":"t","apiKeys":["x","y"],"priority":1,"ratePerS":10,"burst":5}],)"
+    R"("hosts":[{"host":"h","paths":[{"name":"a","pathPrefix":"/a/","kind":"idempotent",)"
+    R"("timeout":"1200ms","targetLatency":"200ms","priority":2,"trafficSplit":)"
+    R"([{"service":"s","weight":90},{"service":"k","weight":10}],"attempts":2},)"
+    R"({"name":"b","pathPrefix":"/a/b/","kind":"new_kind","timeout":"1s","service":"s",)"
+    R"("attempts":0,"public":true}]}]})";
+
+TEST_CASE("a configuration is decoded with its look-up tables", "[records]") {
+  const auto record = WireProtocol().ReadOperatorRecord("config", kConfig);
+  REQUIRE(std::holds_alternative<fleet::RoutingConfigPtr>(record));
+  const fleet::RoutingConfig& config = *std::get<fleet::RoutingConfigPtr>(record);
+  CHECK(config.version() == 7);
+  CHECK(config.limits().header_bytes == 1000);
+  REQUIRE(config.FindRoute("h", "/a/b/c?q=/a/"));
+  CHECK(config.FindRoute("h", "/a/b/c")->name == "b");
+  CHECK(config.FindRoute("h", "/a/x")->name == "a");
+  CHECK(config.FindRoute("h", "/a") == nullptr);
+  CHECK(config.FindRoute("other", "/a/x") == nullptr);
+  CHECK(config.FindRoute("h", "/a/x")->splits.size() == 2);
+  // What is not known to be repeatable is not repeated.
+  CHECK(config.FindRoute("h", "/a/b/c")->kind == fleet::RequestKind::kNonIdempotent);
+  CHECK(config.FindRoute("h", "/a/b/c")->attempts == 1);
+  CHECK(config.FindRoute("h", "/a/b/c")->is_public);
+  CHECK(config.FindAccount("y")->name == "t");
+  CHECK(config.FindAccount("z") == nullptr);
+  CHECK(config.FindService("k")->keyed);
+  CHECK(config.FindService("s")->cold_rate == 21.0);
+}
+
+TEST_CASE("an unusable record says why and yields nothing", "[records]") {
+  const auto text = GENERATE(values<std::string>(
+      {"", "{}", "nonsense", R"({"version":1,"services":[],"hosts":[{"host":"h"}]})",
+       R"({"version":1,"services":[{"name":"s","coldStart":"soon"}],"hosts":[]})"}));
+  INFO(text);
+  const auto record = WireProtocol().ReadOperatorRecord("config", text);
+  REQUIRE(std::holds_alternative<fleet::Unusable>(record));
+  CHECK_FALSE(std::get<fleet::Unusable>(record).reason.empty());
+}
+
+TEST_CASE("a withdrawal names its data centre", "[records]") {
+  const WireProtocol protocol;
+  CHECK(protocol.WithdrawalKey("evacuate/z") == "z");
+  CHECK_FALSE(protocol.WithdrawalKey("config"));
+  CHECK(std::holds_alternative<fleet::Unusable>(protocol.ReadOperatorRecord("other", "{}")));
+}
+
+std::string Header(std::uint64_t end) {
+  std::string out(16, '\0');
+  out[7] = static_cast<char>(end);
+  return out;
+}
+
+TEST_CASE("records of a read are told apart by their offsets", "[records]") {
+  const std::string body = Header(12) + MakeRecord("a", "one") + MakeRecord("b", "");
+  const fleet::StoreRecords records = ParseRecords(body, 10);
+  CHECK(records.end == 12);
+  REQUIRE(records.records.size() == 2);
+  CHECK(records.records[0].offset == 10);
+  CHECK(records.records[0].key == "a");
+  CHECK(records.records[0].value == "one");
+  CHECK(records.records[1].offset == 11);
+  CHECK_FALSE(records.records[1].value);
+}
+
+TEST_CASE("a read that is cut short is not taken", "[records]") {
+  const std::string body = Header(11) + MakeRecord("a", "one");
+  for (std::size_t n = 0; n < body.size(); ++n) {
+    if (n == 16) continue;  // A read without records.
+    CHECK_THROWS(ParseRecords(body.substr(0, n), 10));
+  }
+}
+
+TEST_CASE("a record without room for its key names none", "[records]") {
+  std::string record = MakeRecord("abc", "");
+  record[4] = 9;  // The key would be longer than the record.
+  const fleet::StoreRecords records = ParseRecords(Header(1) + record, 0);
+  REQUIRE(records.records.size() == 1);
+  CHECK(records.records[0].key.empty());
+  CHECK_FALSE(records.records[0].value);
+}
+
+constexpr const char* kSettings =
+    R"({"instance":"e1","data_centre":"z","ip":"10.0.0.1","callers":"10.0.0.1:1",)"
+    R"("readiness":"10.0.0.1:2","internal_ports":[7340,7355],"store":"10.9.0.1:3",)"
+    R"("descriptors":4100,"bounds":{"secret_withdrawal":"4000ms","retry_ratio":0.3}})";
+
+TEST_CASE("settings are read with their defaults", "[records]") {
+  const Settings settings = ParseSettings(kSettings, "f");
+  CHECK(settings.instance == "e1");
+  CHECK(settings.first_internal_port == 7340);
+  CHECK(settings.bounds.secret_withdrawal == std::chrono::seconds(4));
+  CHECK(settings.bounds.retry_ratio == 0.3);
+  CHECK(settings.bounds.retry_extra == 60);
+}
+
+struct BadSettings {
+  std::string from;
+  std::string to;
+  std::string named;
+};
+
+TEST_CASE("an unusable setting is named with its value", "[records]") {
+  const auto it = GENERATE(values<BadSettings>({
+      {R"("e1")", "7", "/instance is 7"},
+      {R"("store":"10.9.0.1:3")", R"("shop":1)", "/store is nothing"},
+      {"[7340,7355]", "[7355,7340]", "/internal_ports"},
+      {"4100", "-1", "/descriptors is -1"},
+      {R"("4000ms")", R"("soon")", "/bounds/secret_withdrawal is \"soon\""},
+      {"0.3", R"("much")", "/bounds/retry_ratio"},
+      {"}}", "}", "is not JSON"},
+  }));
+  std::string text = kSettings;
+  text.replace(text.find(it.from), it.from.size(), it.to);
+  INFO(text);
+  CHECK_THROWS_WITH(ParseSettings(text, "f"), Catch::Contains(it.named));
+}
+
+}  // namespace
+}  // namespace dogwoodport::platform
--- /dev/null
+++ b/tests/platform/unit-wire_protocol.cpp
@@ -0,0 +1,147 @@
+#include <catch2/catch.hpp>
+
+#include "dogwoodport/platform/duration_text.h"
+#include "dogwoodport/platform/wire_protocol.h"
+
+namespace dogwoodport::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+net::HttpRequest With(const std::vector<std::pair<std::string, std::string>>& fields) {
+  net::HttpRequest request;
+  for (const auto& [name, value] : fields) request.fields.Add(name, value);
+  return request;
+}
+
+struct Authorization {
+  const char* what;
+  std::vector<std::string> values;
+  std::optional<std::string> secret;
+  bool malformed;
+};
+
+TEST_CASE("one secret of the known scheme is read, in any case", "[wire_protocol]") {
+  const auto it = GENERATE(values<Authorization>({
+      {"the scheme", {"Token abc"}, "abc", false},
+      {"another case", {"token abc"}, "abc", false},
+      {"another scheme", {"Bearer abc"}, std::nullopt, true},
+      {"two fields", {"Token abc", "Token def"}, "abc", true},
+      {"none", {}, std::nullopt, false},
+  }));
+  INFO(it.what);
+  net::HttpRequest request;
+  for (const std::string& value : it.values) request.fields.Add("Authorization", value);
+  const fleet::CallerFields caller = WireProtocol().ReadCaller(request);
+  CHECK(caller.secret == it.secret);
+  CHECK(caller.secret_malformed == it.malformed);
+}
+
+struct Patience {
+  std::string text;
+  std::optional<Duration> value;
+  bool malformed;
+};
+
+TEST_CASE("a deadline is a number of milliseconds that is not negative", "[wire_protocol]") {
+  const auto it = GENERATE(values<Patience>({
+      {"1200", milliseconds(1200), false},
+      {"0", milliseconds(0), false},
+      {"-5", std::nullopt, true},
+      {"12s", std::nullopt, true},
+      {"", std::nullopt, true},
+      {"99999999999999999999", std::nullopt, true},
+  }));
+  INFO(it.text);
+  const fleet::CallerFields caller =
+      WireProtocol().ReadCaller(With({{"X-Dogwoodport-Deadline-Ms", it.text}}));
+  CHECK(caller.patience == it.value);
+  CHECK(caller.patience_malformed == it.malformed);
+}
+
+TEST_CASE("a target sees the account and never the secret", "[wire_protocol]") {
+  net::HttpRequest request = With({{"Host", "a"},
+                                   {"Authorization", "Token abc"},
+                                   {"X-Dogwoodport-Tenant-Id", "forged"},
+                                   {"X-Dogwoodport-Expected-Instance", "forged"},
+                                   {"X-Dogwoodport-Deadline-Ms", "9000"},
+                                   {"X-Dogwoodport-Request-Id", "r1"},
+                                   {"X-Other", "kept"}});
+  WireProtocol().PrepareRequest(request, {milliseconds(700), "t1", "acme"});
+  CHECK(request.fields.Find("Authorization") == nullptr);
+  CHECK(request.fields.Count("X-Dogwoodport-Tenant-Id") == 1);
+  CHECK(*request.fields.Find("X-Dogwoodport-Tenant-Id") == "acme");
+  CHECK(request.fields.Count("X-Dogwoodport-Expected-Instance") == 1);
+  CHECK(*request.fields.Find("X-Dogwoodport-Expected-Instance") == "t1");
+  CHECK(*request.fields.Find("X-Dogwoodport-Deadline-Ms") == "700");
+  CHECK(*request.fields.Find("X-Dogwoodport-Request-Id") == "r1");
+  CHECK(*request.fields.Find("X-Other") == "kept");
+  WireProtocol().PrepareRequest(request, {milliseconds(700), "t1", ""});
+  CHECK(request.fields.Find("X-Dogwoodport-Tenant-Id") == nullptr);
+}
+
+TEST_CASE("an answer tells its request, whether it ran, and the load", "[wire_protocol]") {
+  net::HttpResponse response;
+  response.fields.Add("X-Dogwoodport-Request-Id", "r1");
+  response.fields.Add("X-Dogwoodport-Not-Executed", "1");
+  response.fields.Add("X-Dogwoodport-Server-Load", "3,1,8,250");
+  const fleet::AnswerFields answer = WireProtocol().ReadAnswer(response);
+  CHECK(answer.request_id == "r1");
+  CHECK(answer.not_run);
+  CHECK_FALSE(answer.has_signature);
+  REQUIRE(answer.load);
+  CHECK(answer.load->running == 3);
+  CHECK(answer.load->waiting == 1);
+  CHECK(answer.load->slots == 8);
+  CHECK(answer.load->slowdown == 2.5);
+  net::HttpResponse other;
+  other.fields.Add("X-Dogwoodport-Server-Load", "busy");
+  CHECK_FALSE(WireProtocol().ReadAnswer(other).load);
+}
+
+TEST_CASE("a refusal says whether the request ran and when to come back", "[wire_protocol]") {
+  const net::HttpResponse refusal =
+      WireProtocol().MakeAnswer(503, "overloaded", false, "r1", milliseconds(250));
+  CHECK(*refusal.fields.Find("Retry-After") == "0.250");
+  CHECK(refusal.body == R"({"code":"overloaded","request_id":"r1","run":"no"})");
+  const net::HttpResponse failure =
+      WireProtocol().MakeAnswer(502, "target_failed", true, "r1", Duration{0});
+  CHECK(failure.fields.Find("Retry-After") == nullptr);
+  CHECK(failure.body.find(R"("run":"unknown")") != std::string::npos);
+}
+
+TEST_CASE("grants and releases name the target that they are meant for", "[wire_protocol]") {
+  fleet::TargetEntry target;
+  target.id = "t1";
+  target.address = "10.0.0.1:80";
+  const fleet::Grant grant{4096, 8191, 12, milliseconds(4000), "proof"};
+  const net::HttpRequest call = WireProtocol().MakeGrant(target, grant);
+  CHECK(call.target == "/grant");
+  CHECK(*call.fields.Find("X-Dogwoodport-Expected-Instance") == "t1");
+  CHECK(call.body ==
+        R"({"fence":12,"from":4096,"handover":"proof","hold_time":"4000ms","target":8191})");
+  const net::HttpRequest release = WireProtocol().MakeRelease(target, grant);
+  CHECK(release.target == "/release");
+  CHECK(release.body == R"({"fence":12,"from":4096,"target":8191})");
+}
+
+struct TimeText {
+  const char* text;
+  std::optional<Duration> value;
+};
+
+TEST_CASE("times have a number and a unit", "[wire_protocol]") {
+  const auto it = GENERATE(values<TimeText>({{"1500ms", milliseconds(1500)},
+                                             {"2.5s", milliseconds(2500)},
+                                             {"0ms", Duration{0}},
+                                             {"5", std::nullopt},
+                                             {"5m", std::nullopt},
+                                             {"-1s", std::nullopt},
+                                             {"s", std::nullopt},
+                                             {"1e9s", std::nullopt}}));
+  INFO(it.text);
+  CHECK(ParseDuration(it.text) == it.value);
+}
+
+}  // namespace
+}  // namespace dogwoodport::platform
