--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -423,7 +423,7 @@
   const bool sent = failure == net::CallFailure::kBroken || failure == net::CallFailure::kMalformed;
   if (sent) request.may_have_run = true;
   LogRequest(LogLevel::kWarning, "attempt_failed", request,
-             {{"failure", static_cast<int>(failure)}, {"may_have_run", sent}});
+             {{"failure", net::NameOf(failure)}, {"may_have_run", sent}});
   EndAttempt(request, failure == net::CallFailure::kNotConnected ? SendResult::kNotConnected
                       : failure == net::CallFailure::kStale      ? SendResult::kCancelled
                                                                  : SendResult::kBroken);
--- a/packages/net/include/dogwoodport/net/http_client.h
+++ b/packages/net/include/dogwoodport/net/http_client.h
@@ -20,6 +20,9 @@
   kMalformed,     ///< The peer sent bytes that are no response, or not a whole one.
 };
 
+/// Name of a failure for logs.
+const char* NameOf(CallFailure failure) noexcept;
+
 /// Receives the outcome of a call; exactly one of the two is called, and never inside of `Send`.
 class CallHandler {
  public:
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -1,11 +1,15 @@
 #include "dogwoodport/net/http_client.h"
 
+#include <array>
 #include <charconv>
 #include <utility>
 
 namespace dogwoodport::net {
 namespace {
 
+constexpr std::array<const char*, 4> kFailureNames = {"not_connected", "stale", "broken",
+                                                      "malformed"};
+
 /// Reads the seconds of "timeout=N" in a Keep-Alive field; zero if there are none.
 Duration KeepAliveTimeout(const Fields& fields) {
   const std::string* const value = fields.Find("Keep-Alive");
@@ -20,6 +24,10 @@
 
 }  // namespace
 
+const char* NameOf(CallFailure failure) noexcept {
+  return kFailureNames[static_cast<std::size_t>(failure)];
+}
+
 std::string ToBytes(const HttpRequest& request) {
   std::string out;
   out.reserve(512 + request.body.size());
