--- /dev/null
+++ b/packages/fleet/include/dogwoodport/fleet/detail/name_hash.h
@@ -0,0 +1,20 @@
+#pragma once
+
+/// @file
+/// Hashes that stand for names in the messages between instances.
+
+#include <cstdint>
+#include <string>
+
+#include "dogwoodport/core/types.h"
+
+namespace dogwoodport::fleet::detail {
+
+inline std::uint64_t HashOf(const std::string& name) { return TargetId::FromName(name).value; }
+
+/// Hash of a target in the frequent loads.
+inline std::uint32_t ShortHashOf(const std::string& name) {
+  return static_cast<std::uint32_t>(HashOf(name));
+}
+
+}  // namespace dogwoodport::fleet::detail
--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -47,6 +47,8 @@
   Duration entry_return{2'200'000};
   /// Silence of the coordinator after which another instance takes over.
   Duration coordinator_silence{1'300'000};
+  /// Busiest buckets of keys that an instance reports to the coordinator.
+  std::size_t reported_buckets = 64;
   ForwarderSettings forwarder;
   CoordinatorSettings coordinator;
   PeerSettings peers;
--- /dev/null
+++ b/packages/fleet/src/instance_feeds.cc
@@ -0,0 +1,188 @@
+// What an instance does with the feeds of the store.
+
+#include <utility>
+
+#include "dogwoodport/fleet/detail/name_hash.h"
+#include "dogwoodport/fleet/instance.h"
+
+namespace dogwoodport::fleet {
+
+using detail::ShortHashOf;
+
+namespace {
+
+/// Interval of reads of the instances' addresses while no other instance answers.
+constexpr Duration kInstancesInterval{2'000'000};
+
+}  // namespace
+
+void Instance::OnOperators(const std::vector<StoreRecord>& records, bool complete) {
+  std::vector<StoreRecord>& recent = recent_changes_[Feed::kOperators];
+  recent.insert(recent.end(), records.begin(), records.end());
+  std::set<std::string> withdrawn = complete ? std::set<std::string>() : view_.withdrawn;
+  for (const StoreRecord& it : records) {
+    if (const auto data_centre = protocol_.WithdrawalKey(it.key)) {
+      if (it.value) {
+        withdrawn.insert(*data_centre);
+      } else {
+        withdrawn.erase(*data_centre);
+      }
+      continue;
+    }
+    if (!it.value || !protocol_.IsConfigKey(it.key)) continue;
+    const OperatorRecord record = protocol_.ReadOperatorRecord(it.key, *it.value);
+    if (const auto* const config = std::get_if<RoutingConfigPtr>(&record)) {
+      ApplyConfig(*config);
+    } else if (const auto* const unusable = std::get_if<Unusable>(&record)) {
+      log_.Write(LogLevel::kError, "config_unusable",
+                 {{"offset", it.offset}, {"reason", unusable->reason}});
+    }
+  }
+  SetWithdrawn(std::move(withdrawn));
+  forwarder_.Offer();
+}
+
+void Instance::ApplyConfig(const RoutingConfigPtr& config) {
+  if (view_.config && config->version() <= view_.config->version()) return;
+  log_.Write(LogLevel::kInfo, "config_applied",
+             {{"from", view_.config ? view_.config->version() : 0},
+              {"to", config->version()},
+              {"routes", config->routes().size()},
+              {"accounts", config->accounts().size()}});
+  view_.config = config;
+  std::vector<std::string> names;
+  for (const Account& it : config->accounts()) {
+    if (view_.accounts.Configure(it.name, it.rate, it.burst)) {
+      log_.Write(LogLevel::kInfo, "account_limit_changed",
+                 {{"account", it.name}, {"rate_per_s", it.rate}, {"burst", it.burst}});
+    }
+    names.push_back(it.name);
+  }
+  view_.accounts.Keep(names);
+  net::ServerLimits& limits = callers_.limits();
+  limits.message.header_bytes = config->limits().header_bytes;
+  limits.message.body_bytes = config->limits().body_bytes;
+  limits.header_timeout = config->limits().header_timeout;
+  limits.idle_timeout = config->limits().idle_timeout;
+}
+
+void Instance::SetWithdrawn(std::set<std::string> withdrawn) {
+  if (withdrawn == view_.withdrawn) return;
+  log_.Write(LogLevel::kInfo, "data_centres_withdrawn", {{"data_centres", withdrawn}});
+  view_.withdrawn = std::move(withdrawn);
+}
+
+void Instance::OnTargets(const std::vector<StoreRecord>& records, bool complete, bool was_away) {
+  std::set<std::string> present;
+  std::vector<StoreRecord>& recent = recent_changes_[Feed::kTargets];
+  for (const StoreRecord& it : records) {
+    present.insert(it.key);
+    if (ApplyTarget(it, was_away)) recent.push_back(it);
+  }
+  if (complete) {
+    std::vector<std::string> missing;
+    for (const auto& [id, target] : view_.directory.targets()) {
+      if (present.count(id) == 0) missing.push_back(id);
+    }
+    for (const std::string& id : missing) {
+      OnTargetChange(id, view_.directory.Remove(id, loop_.now(), was_away, settings_.entry_return));
+    }
+  }
+  forwarder_.Offer();
+}
+
+bool Instance::ApplyTarget(const StoreRecord& record, bool was_away) {
+  const TimePoint now = loop_.now();
+  if (!record.value) {
+    const bool just_back = was_away || now - targets_.last_return_at() < settings_.entry_return;
+    const TargetChange change =
+        view_.directory.Remove(record.key, now, just_back, settings_.entry_return);
+    OnTargetChange(record.key, change);
+    return change != TargetChange::kNone;
+  }
+  try {
+    const TargetEntry entry = protocol_.ReadTarget(record.key, *record.value);
+    target_names_[ShortHashOf(entry.id)] = entry.id;
+    const TargetChange change = view_.directory.Apply(entry, now);
+    OnTargetChange(entry.id, change);
+    return change != TargetChange::kNone;
+  } catch (const std::exception& e) {
+    log_.Write(LogLevel::kWarning, "target_entry_unusable",
+               {{"target", record.key}, {"offset", record.offset}, {"reason", e.what()}});
+    return false;
+  }
+}
+
+void Instance::OnTargetChange(const std::string& id, TargetChange change) {
+  if (change == TargetChange::kNone) return;
+  log_.Write(LogLevel::kInfo, "target_changed",
+             {{"target", id},
+              {"change", NameOf(change)},
+              {"directory_version", view_.directory.version()}});
+  if (change == TargetChange::kRestarted) view_.health[id].OnRestart();
+  if (change == TargetChange::kGone) ForgetTarget(id);
+}
+
+void Instance::ForgetTarget(const std::string& id) {
+  // Requests in flight still end there, so the observations stay until the next round.
+  target_names_.erase(ShortHashOf(id));
+  view_.cold.Forget(id);
+}
+
+void Instance::PushFeed(Feed feed, std::uint64_t from, std::uint64_t end, bool complete) {
+  std::vector<StoreRecord>& recent = recent_changes_[feed];
+  // A complete read does not show what was removed, so the others have to read it themselves.
+  if (!coordinator_.leading() || complete) {
+    recent.clear();
+    last_push_from_.erase(feed);
+    return;
+  }
+  // The records of the push before are sent again, in case it was lost.
+  const auto last = last_push_from_.find(feed);
+  const std::uint64_t since = last == last_push_from_.end() ? from : last->second;
+  last_push_from_[feed] = from;
+  FeedPush push;
+  push.feed = static_cast<std::uint8_t>(feed);
+  push.from = since;
+  push.end = end;
+  for (const StoreRecord& it : recent) {
+    if (it.offset >= since) push.records.push_back(it);
+  }
+  recent = push.records;
+  const FeedReader& reader = feed == Feed::kOperators ? operators_ : targets_;
+  push.store_was_away = loop_.now() - reader.last_return_at() < settings_.entry_return;
+  peers_.PushFeed(push, reader.verified_at());
+}
+
+void Instance::OnFeedPush(const FeedPush& push) {
+  if (coordinator_.leading()) return;
+  FeedReader& reader = static_cast<Feed>(push.feed) == Feed::kOperators ? operators_ : targets_;
+  reader.AcceptPush(push.from, push.end, TimePoint(Duration(push.verified_us)), push.store_was_away,
+                    push.records);
+  recent_changes_[static_cast<Feed>(push.feed)].clear();
+}
+
+void Instance::Register() {
+  instances_at_ = loop_.now() + kInstancesInterval;
+  const nlohmann::json record = {{"data_centre", settings_.data_centre},
+                                 {"incarnation", settings_.incarnation}};
+  store_.Append(Feed::kInstances, settings_.peer_address, record.dump(), std::nullopt,
+                [this](const AppendOutcome& outcome) {
+                  registered_ = std::holds_alternative<Appended>(outcome);
+                  ReadInstances();
+                });
+}
+
+void Instance::ReadInstances() {
+  instances_at_ = loop_.now() + kInstancesInterval;
+  store_.ReadNewest(Feed::kInstances, [this](const ReadOutcome& outcome) {
+    const auto* const records = std::get_if<StoreRecords>(&outcome);
+    if (records == nullptr) return;
+    for (const StoreRecord& it : records->records) {
+      if (it.value) peers_.AddPeer(it.key);
+    }
+    peers_.ReportNow();
+  });
+}
+
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/packages/fleet/src/instance_owners.cc
@@ -0,0 +1,165 @@
+// How an instance learns the owners of keys, and when it becomes the coordinator.
+
+#include <algorithm>
+#include <utility>
+
+#include "dogwoodport/fleet/detail/name_hash.h"
+#include "dogwoodport/fleet/instance.h"
+
+namespace dogwoodport::fleet {
+
+using detail::HashOf;
+
+namespace {
+
+constexpr Duration kTableReadInterval{1'000'000};
+/// Time after the start before this instance tries to become the coordinator, so that it can hear
+/// the present one.
+constexpr Duration kQuietStart{700'000};
+/// Instances take over one after the other, in the order of their addresses.
+constexpr Duration kTakeOverStep{150'000};
+/// Time for which a new coordinator is left alone by the one that it replaced.
+constexpr Duration kAfterStepDown{4'000'000};
+/// Age of its knowledge of the store from which on a coordinator counts as cut off, and the age
+/// below which another instance may replace it.
+constexpr std::uint32_t kLostStoreMs = 3'500;
+constexpr Duration kReachedStore{2'000'000};
+
+}  // namespace
+
+void Instance::OnReport(const Peer& peer) {
+  const PeerReport& report = peer.report;
+  if (report.leading && coordinator_.leading() && report.generation > view_.keys.generation) {
+    coordinator_.StepDown("another instance leads a newer generation");
+    leaderless_since_ = loop_.now() + kAfterStepDown;
+  }
+  if (!coordinator_.leading()) return;
+  const bool behind = std::pair(report.generation, report.revision) <
+                      std::pair(view_.keys.generation, view_.keys.revision);
+  if (behind) peers_.SendTable(Encode(view_.keys), report.address);
+}
+
+void Instance::OnTable(const std::string& bytes) { AdoptTable(DecodeKeyTable(bytes), "peer"); }
+
+void Instance::AdoptTable(KeyTable table, const char* source) {
+  if (coordinator_.leading() || !table.NewerThan(view_.keys)) return;
+  log_.Write(LogLevel::kInfo, "owners_changed",
+             {{"generation", table.generation}, {"revision", table.revision}, {"source", source}});
+  view_.keys = std::move(table);
+  forwarder_.Offer();
+}
+
+void Instance::ReadTableFromStore() {
+  reading_table_ = true;
+  store_.ReadNewest(Feed::kOwnership, [this](const ReadOutcome& outcome) {
+    reading_table_ = false;
+    table_read_at_ = loop_.now() + kTableReadInterval;
+    const auto* const records = std::get_if<StoreRecords>(&outcome);
+    if (records == nullptr || records->records.empty()) return;
+    const StoreRecord& newest = records->records.back();
+    try {
+      KeyTable table = DecodeKeyTable(newest.value.value_or(""));
+      ResolveTokens(table, newest.offset);
+      // Whether a grant was confirmed is not recorded; a target that holds no key says so.
+      for (auto& [service, ranges] : table.services) {
+        for (KeyRange& it : ranges) it.ready = it.previous.empty() && !it.owner.empty();
+      }
+      AdoptTable(std::move(table), "store");
+    } catch (const std::exception& e) {
+      log_.Write(LogLevel::kError, "ownership_unreadable", {{"error", e.what()}});
+    }
+  });
+}
+
+CoordinatorPorts Instance::MakePorts() {
+  CoordinatorPorts ports;
+  ports.store = &store_;
+  ports.protocol = &protocol_;
+  ports.directory = &view_.directory;
+  ports.log = &log_;
+  // A grant must not follow a decision that a suspension has made old.
+  ports.now = [this] { return loop_.Refresh(); };
+  ports.call = [this](const std::string& address, const net::HttpRequest& request, Duration timeout,
+                      std::function<void(std::optional<net::HttpResponse>)> done) {
+    caller_.Call(address, request, timeout, std::move(done));
+  };
+  ports.services = [this] {
+    std::vector<std::string> names;
+    if (!view_.config) return names;
+    for (const auto& [name, service] : view_.config->services()) {
+      if (service.keyed) names.push_back(name);
+    }
+    return names;
+  };
+  ports.load = [this](const std::string& service) { return KeyLoad(service); };
+  ports.capacity = [this](const Target& target) { return CapacityOf(target); };
+  ports.may_own = [this](const Target& target) {
+    return target.entry.phase == TargetPhase::kReady &&
+           view_.withdrawn.count(target.entry.data_centre) == 0;
+  };
+  ports.may_grow = [this](const Target& target) {
+    return view_.Usable(target, loop_.now()) && !target.cold(loop_.now()) && !target.doubtful_until;
+  };
+  ports.on_table = [this](const KeyTable& table) {
+    view_.keys = table;
+    peers_.SendTable(Encode(table));
+    forwarder_.Offer();
+  };
+  return ports;
+}
+
+BucketRates Instance::KeyLoad(const std::string& service) {
+  BucketRates rates(kBucketCount, 0.0);
+  const auto add = [&rates](const std::vector<BucketRate>& buckets) {
+    for (const auto& [bucket, rate] : buckets) {
+      if (bucket < rates.size()) rates[bucket] += rate;
+    }
+  };
+  auto own = view_.key_load.Busiest(loop_.now(), settings_.reported_buckets);
+  add(own[service]);
+  const std::uint64_t hash = HashOf(service);
+  for (const auto& [address, peer] : peers_.peers()) {
+    if (!peers_.Reachable(peer)) continue;
+    for (const auto& [name, buckets] : peer.report.key_load) {
+      if (name == hash) add(buckets);
+    }
+  }
+  return rates;
+}
+
+double Instance::CapacityOf(const Target& target) const {
+  const Duration usual = forwarder_.UsualLatency(target.entry.service);
+  const double latency = usual > Duration{0} ? Seconds(usual) : 0.1;
+  return target.entry.slots / latency;
+}
+
+void Instance::CheckCoordinator() {
+  const TimePoint now = loop_.now();
+  if (coordinator_.leading() || coordinator_.taking_over() || stopping_) return;
+  const Duration own_store_age = now - operators_.verified_at();
+  std::size_t rank = 0;
+  bool has_coordinator = false;
+  for (const auto& [address, peer] : peers_.peers()) {
+    if (!peers_.Reachable(peer)) continue;
+    const PeerReport& report = peer.report;
+    // A coordinator that has lost the store is replaced by an instance that reaches it.
+    const bool cut_off = report.store_age_ms > kLostStoreMs && own_store_age < kReachedStore;
+    if (report.leading && !report.leaving && !cut_off &&
+        now - peer.heard_at <= settings_.coordinator_silence) {
+      has_coordinator = true;
+    }
+    if (!report.leaving && address < settings_.peer_address) ++rank;
+  }
+  if (has_coordinator) {
+    leaderless_since_ = std::max(leaderless_since_, now);
+    return;
+  }
+  if (!reading_table_ && now >= table_read_at_) ReadTableFromStore();
+  const bool loaded = view_.config && targets_.loaded();
+  if (!loaded || now - started_at_ < kQuietStart) return;
+  if (now - leaderless_since_ < kTakeOverStep * static_cast<Duration::rep>(rank + 1)) return;
+  leaderless_since_ = now + settings_.coordinator_silence;
+  coordinator_.TakeOver();
+}
+
+}  // namespace dogwoodport::fleet
