--- a/packages/net/include/dogwoodport/net/event_loop.h
+++ b/packages/net/include/dogwoodport/net/event_loop.h
@@ -32,6 +32,8 @@
   std::uint64_t number = 0;
 
   explicit operator bool() const noexcept { return number != 0; }
+  // clang-tidy 14 takes the 0 that a defaulted comparison is compared with for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const TimerId&, const TimerId&) = default;
 };
 
--- a/packages/net/include/dogwoodport/net/http_server.h
+++ b/packages/net/include/dogwoodport/net/http_server.h
@@ -29,8 +29,7 @@
   const HttpRequest& request() const noexcept { return request_; }
   TimePoint received_at() const noexcept { return received_at_; }
 
-  /// Answers the request; the first call counts. `head` is the status line and header section
-  /// without the fields that concern the connection.
+  /// Answers the request; the first call counts. Fields that concern one connection are left out.
   void Respond(HttpResponse response);
   bool answered() const noexcept { return answered_; }
 
--- a/packages/net/src/connection_pool.cc
+++ b/packages/net/src/connection_pool.cc
@@ -1,6 +1,7 @@
 #include "dogwoodport/net/connection_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dogwoodport::net {
 namespace {
@@ -8,7 +9,7 @@
 /// Part of the idle limit announced by a peer after which its connection is not reused.
 constexpr int kPeerLimitPercent = 80;
 
-void CloseAll(std::vector<ClientConnectionPtr> connections) {
+void CloseAll(const std::vector<ClientConnectionPtr>& connections) {
   for (const ClientConnectionPtr& it : connections) it->Abort();
 }
 
@@ -33,7 +34,7 @@
   // Abort may erase the bucket, so it is looked up again in each round.
   for (auto it = buckets_.find(address); it != buckets_.end() && !it->second.idle.empty();
        it = buckets_.find(address)) {
-    const ClientConnectionPtr connection = it->second.idle.back();
+    ClientConnectionPtr connection = it->second.idle.back();
     it->second.idle.pop_back();
     if (Usable(*connection)) return connection;
     connection->Abort();
@@ -80,12 +81,14 @@
     stale.insert(stale.end(), first_stale, idle.end());
     idle.erase(first_stale, idle.end());
   }
-  CloseAll(std::move(stale));
+  CloseAll(stale);
 }
 
 void ConnectionPool::CloseIdle(const std::string& address) {
   const auto it = buckets_.find(address);
-  if (it != buckets_.end()) CloseAll(std::move(it->second.idle));
+  if (it == buckets_.end()) return;
+  const auto idle = std::exchange(it->second.idle, {});  // Closing may erase the bucket.
+  CloseAll(idle);
 }
 
 }  // namespace dogwoodport::net
--- a/packages/net/src/http_parser.cc
+++ b/packages/net/src/http_parser.cc
@@ -82,7 +82,8 @@
 /// Splits the host from "http://host/path"; returns false if the target has another form.
 bool SplitAbsoluteTarget(std::string& target, std::string& host) {
   constexpr std::string_view kScheme = "http://";
-  if (!EqualNames(std::string_view(target).substr(0, kScheme.size()), kScheme)) return false;
+  const std::string_view text = target;
+  if (!EqualNames(text.substr(0, kScheme.size()), kScheme)) return false;
   const std::size_t path = target.find('/', kScheme.size());
   host = target.substr(kScheme.size(),
                        path == std::string::npos ? std::string::npos : path - kScheme.size());
--- a/packages/net/src/stream.cc
+++ b/packages/net/src/stream.cc
@@ -14,7 +14,7 @@
 
 constexpr int kReadChunkBytes = 16 * 1024;
 /// Input that a handler leaves in the buffer stops the reading at this size.
-constexpr std::size_t kMostInputBytes = 256 * 1024;
+constexpr std::size_t kMostInputBytes = 256UL * 1024;
 /// Time after which unacknowledged bytes end a connection whose path went silent.
 constexpr int kUserTimeoutMs = 10'000;
 /// Longest wait for the peer to close its side after the last output.
