Take targets that were unreachable to be cold until they have served for a cold start

Cause: a target that restarts keeps its old entry until its first heartbeat has been read, up to two seconds; instances that reached it again meanwhile sent their full load.

--- a/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
@@ -44,6 +44,9 @@
   RetryBudget retry_budget;
   ColdLimiter cold;
 
+  /// Whether a target is cold, by its heartbeats or by what was seen of it.
+  bool IsCold(const Target& target, TimePoint now) const;
+
   /// Whether new requests may be sent to a target, apart from its load.
   bool Usable(const Target& target, TimePoint now) const;
 };
--- a/packages/fleet/include/dogwoodport/fleet/routing/target_health.h
+++ b/packages/fleet/include/dogwoodport/fleet/routing/target_health.h
@@ -49,10 +49,19 @@
   bool ejected(TimePoint now) const noexcept { return now < ejected_until_; }
   TimePoint ejected_until() const noexcept { return ejected_until_; }
 
+  /// Whether the target may have started again without a heartbeat that says so: it could not be
+  /// reached, and has served for less than a cold start since. It may be cold.
+  bool MayBeCold(TimePoint now) const noexcept {
+    return unreachable_ || now < recovered_at_ + kPresumedColdStart;
+  }
+
   /// Requests that the target is estimated to hold, running and waiting.
   double Load(TimePoint now) const noexcept;
 
  private:
+  /// Time for which a target that was unreachable is taken to be cold after its first answer.
+  static constexpr Duration kPresumedColdStart{3'000'000};
+
   void Eject(TimePoint now);
 
   std::uint32_t in_flight_ = 0;
@@ -64,6 +73,7 @@
   double sheds_ = 0;
   Duration latency_{0};
   TimePoint ejected_until_{};
+  TimePoint recovered_at_{};
   LoadReport report_;
   TimePoint reported_at_{};
 };
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -215,7 +215,7 @@
   // reachable, as after a common restart, still choose the same senders.
   const std::vector<std::string> others = peers_.KnownAddresses();
   for (const auto& [id, target] : view_.directory.targets()) {
-    if (!target.cold(now)) continue;
+    if (!view_.IsCold(target, now)) continue;
     const Service* const service =
         view_.config ? view_.config->FindService(target.entry.service) : nullptr;
     if (service == nullptr) continue;
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -278,7 +278,8 @@
   }
   const Target* const owner = view_.directory.Find(range->owner);
   if (owner == nullptr || !view_.Usable(*owner, now())) return Placement::kNoTarget;
-  if (owner->cold(now()) && !view_.cold.Available(range->owner, now())) return Placement::kNoRoom;
+  if (view_.IsCold(*owner, now()) && !view_.cold.Available(range->owner, now()))
+    return Placement::kNoRoom;
   const TargetHealth& health = view_.health[range->owner];
   if (health.Load(now()) + 1 > owner->entry.slots + settings_.selector.overcommit ||
       !HasConnection(*owner, *request.service)) {
@@ -296,7 +297,7 @@
     if (it.entry.service != request.service->name || !view_.Usable(it, now())) continue;
     if (request.Tried(id)) continue;
     any = true;
-    if (it.cold(now()) && !view_.cold.Available(id, now())) continue;
+    if (view_.IsCold(it, now()) && !view_.cold.Available(id, now())) continue;
     if (!HasConnection(it, *request.service)) continue;
     candidates.push_back(Describe(it));
     targets.push_back(&it);
@@ -340,7 +341,7 @@
   ++request.sends;
   request.sent_at = now();
   view_.health[target.entry.id].OnSend();
-  if (target.cold(now())) view_.cold.Take(target.entry.id, now());
+  if (view_.IsCold(target, now())) view_.cold.Take(target.entry.id, now());
   net::HttpRequest copy = request.exchange->request();
   protocol_.PrepareRequest(copy, {request.due_at - now(), target.entry.id, request.account});
   request.connection = pool_.Acquire(target.entry.address);
--- a/packages/fleet/src/routing/target_health.cc
+++ b/packages/fleet/src/routing/target_health.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "dogwoodport/fleet/limits/token_bucket.h"
 
@@ -39,7 +40,7 @@
   if (result == SendResult::kServed) {
     consecutive_failures_ = 0;
     ejections_ = 0;
-    unreachable_ = false;
+    if (std::exchange(unreachable_, false)) recovered_at_ = now;
     const Duration usual = FromSeconds(Seconds(latency) / Slowdown(now));
     latency_ = latency_ == Duration{0}
                    ? usual
@@ -75,6 +76,7 @@
   consecutive_failures_ = 0;
   ejections_ = 0;
   unreachable_ = false;
+  recovered_at_ = TimePoint{};
   failures_ = 0;
   sheds_ = 0;
   ejected_until_ = TimePoint{};
--- a/tests/fleet/unit-routing.cpp
+++ b/tests/fleet/unit-routing.cpp
@@ -94,6 +94,23 @@
   CHECK(health.ejected(At(1)));
 }
 
+// A target that restarts keeps its old entry until its first heartbeat arrives.
+TEST_CASE("a target that was unreachable is taken to be cold for a while", "[routing]") {
+  TargetHealth health;
+  CHECK_FALSE(health.MayBeCold(At(0)));
+  health.OnSend();
+  health.OnResult(SendResult::kNotConnected, Duration{0}, At(0));
+  CHECK(health.MayBeCold(At(10'000)));
+  health.OnSend();
+  health.OnResult(SendResult::kServed, milliseconds(50), At(10'000));
+  CHECK(health.MayBeCold(At(12'900)));
+  CHECK_FALSE(health.MayBeCold(At(13'000)));
+  health.OnSend();
+  health.OnResult(SendResult::kNotConnected, Duration{0}, At(14'000));
+  health.OnRestart();
+  CHECK_FALSE(health.MayBeCold(At(14'000)));
+}
+
 TEST_CASE("a caller that leaves and a refusal for lack of room eject nobody", "[routing]") {
   const auto result = GENERATE(SendResult::kCancelled, SendResult::kShed);
   TargetHealth health;
