--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -23,6 +23,10 @@
 constexpr Duration kTakesRequests{2'900'000};
 /// Time for the last answers to reach their callers before the process ends.
 constexpr Duration kLastAnswers{300'000};
+/// Parts of what a cold target bears beyond its rate, and of the rate, that are used. Each sender
+/// may be a request ahead, and requests sent in one second may arrive closer together.
+constexpr double kColdRoomPart = 0.5;
+constexpr double kColdRatePart = 0.9;
 /// Part of the grace that is left for the end of the process.
 constexpr Duration kExitMargin{400'000};
 /// Age of the configuration above which callers are better served elsewhere.
@@ -220,9 +224,11 @@
         view_.config ? view_.config->FindService(target.entry.service) : nullptr;
     if (service == nullptr) continue;
     const double room = (settings_.cold_factor - 1) * service->cold_rate + settings_.cold_extra;
-    const auto senders = static_cast<std::size_t>(std::max(1.0, room - 1));
+    const auto senders = static_cast<std::size_t>(std::max(1.0, room * kColdRoomPart));
     view_.cold.Configure(
-        id, service->cold_rate * ColdShare(id, settings_.peer_address, others, senders), now);
+        id,
+        service->cold_rate * kColdRatePart * ColdShare(id, settings_.peer_address, others, senders),
+        now);
   }
 }
 
