--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -278,8 +278,9 @@
   }
   const Target* const owner = view_.directory.Find(range->owner);
   if (owner == nullptr || !view_.Usable(*owner, now())) return Placement::kNoTarget;
-  if (view_.IsCold(*owner, now()) && !view_.cold.Available(range->owner, now()))
+  if (view_.IsCold(*owner, now()) && !view_.cold.Available(range->owner, now())) {
     return Placement::kNoRoom;
+  }
   const TargetHealth& health = view_.health[range->owner];
   if (health.Load(now()) + 1 > owner->entry.slots + settings_.selector.overcommit ||
       !HasConnection(*owner, *request.service)) {
@@ -352,7 +353,9 @@
     const TimePoint last_chance =
         request.objective_at - FromSeconds(kTimeForAnother * Seconds(usual));
     const TimePoint patience = now() + FromSeconds(kShortestPatience * Seconds(usual));
-    if (usual > Duration{0}) next = std::min(next, std::max(last_chance, patience));
+    if (usual > Duration{0}) {
+      next = std::min(next, std::max(last_chance, patience));
+    }
   }
   loop_.Cancel(request.timer);
   request.timer = loop_.RunAt(next, [keep = RequestPtr(&request)] {
