Remove what nothing calls from the pool, the parser, the limiter and the candidates

Found on reading the whole change: ConnectionPool::CloseIdle, RequestParser::body_size, AccountLimiter::Return and Candidate::own_in_flight had no caller or reader. Behaviour is the same; the tests of net, fleet and platform pass.

--- a/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
@@ -42,9 +42,6 @@
   /// Admits or refuses one request. Complexity: constant on average.
   Decision Admit(const std::string& account, TimePoint now);
 
-  /// Returns a token whose request was not sent to a target.
-  void Return(const std::string& account);
-
   /// Requests per second that arrived here, refused ones included, by account, for the next report
   /// to the other instances. The shares go by what was reported last.
   std::vector<std::pair<std::string, double>> Demand(TimePoint now);
--- a/packages/fleet/include/dogwoodport/fleet/routing/target_selector.h
+++ b/packages/fleet/include/dogwoodport/fleet/routing/target_selector.h
@@ -20,8 +20,6 @@
   /// Requests that the target holds, by estimate.
   double load = 0;
   std::uint32_t slots = 1;
-  /// Requests that this instance has in flight there.
-  std::uint32_t own_in_flight = 0;
   /// Expected time of one request; zero if unknown.
   Duration latency{0};
   double failure_share = 0;
--- a/packages/fleet/src/limits/account_limiter.cc
+++ b/packages/fleet/src/limits/account_limiter.cc
@@ -95,11 +95,6 @@
   return {false, std::clamp(FromSeconds(missing / rate), kShortestRetry, kLongestRetry)};
 }
 
-void AccountLimiter::Return(const std::string& account) {
-  const auto it = entries_.find(account);
-  if (it != entries_.end() && it->second.rate > 0) it->second.bucket.Add(1);
-}
-
 std::vector<std::pair<std::string, double>> AccountLimiter::Demand(TimePoint now) {
   std::vector<std::pair<std::string, double>> result;
   for (auto& [name, entry] : entries_) {
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -316,7 +316,6 @@
   Candidate result;
   result.load = health.Load(now());
   result.slots = target.entry.slots;
-  result.own_in_flight = health.in_flight();
   const Duration usual =
       health.latency() > Duration{0} ? health.latency() : UsualLatency(target.entry.service);
   result.latency = FromSeconds(Seconds(usual) * health.Slowdown(now()));
--- a/packages/net/include/dogwoodport/net/connection_pool.h
+++ b/packages/net/include/dogwoodport/net/connection_pool.h
@@ -38,8 +38,6 @@
 
   /// Closes connections that have been idle for too long. Complexity: linear.
   void CloseStale();
-  /// Closes the idle connections to an address that is no longer used.
-  void CloseIdle(const std::string& address);
 
  private:
   struct Bucket {
--- a/packages/net/include/dogwoodport/net/http_parser.h
+++ b/packages/net/include/dogwoodport/net/http_parser.h
@@ -50,8 +50,6 @@
   const std::optional<RequestFault>& fault() const noexcept;
   /// Whether the caller waits for "100 Continue" before it sends the body.
   bool expects_continue() const noexcept;
-  /// Bytes of the body that have arrived.
-  std::size_t body_size() const noexcept;
   HttpRequest Take();
 
  private:
--- a/packages/net/src/connection_pool.cc
+++ b/packages/net/src/connection_pool.cc
@@ -1,7 +1,6 @@
 #include "dogwoodport/net/connection_pool.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace dogwoodport::net {
 namespace {
@@ -84,11 +83,4 @@
   CloseAll(stale);
 }
 
-void ConnectionPool::CloseIdle(const std::string& address) {
-  const auto it = buckets_.find(address);
-  if (it == buckets_.end()) return;
-  const auto idle = std::exchange(it->second.idle, {});  // Closing may erase the bucket.
-  CloseAll(idle);
-}
-
 }  // namespace dogwoodport::net
--- a/packages/net/src/http_parser.cc
+++ b/packages/net/src/http_parser.cc
@@ -175,7 +175,6 @@
 bool RequestParser::head_complete() const noexcept { return impl_->is_header_done(); }
 const std::optional<RequestFault>& RequestParser::fault() const noexcept { return impl_->fault; }
 bool RequestParser::expects_continue() const noexcept { return impl_->expects_continue; }
-std::size_t RequestParser::body_size() const noexcept { return impl_->body.size(); }
 
 HttpRequest RequestParser::Take() {
   impl_->request.fields = std::move(impl_->fields);
