Pass targets that turn cold again on to the other instances

Cause: the directory took a heartbeat that differs only in its cold time for no change, so the coordinator left the record out of what it passes on, and the other instances went on sending at full rate.

Ruled out: the shares of the senders (they add up to the bound in fleet/unit-limits) and stale views of who is reachable (the target turned cold 7 s after the last instance came or went).

The new case of fleet/unit-routing fails without the change.

--- a/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
@@ -27,7 +27,16 @@
 };
 
 /// What a heartbeat changed.
-enum class TargetChange { kNone, kJoined, kRestarted, kLeaving, kChanged, kDoubtful, kGone };
+enum class TargetChange {
+  kNone,
+  kJoined,
+  kRestarted,
+  kLeaving,
+  kChanged,
+  kTurnedCold,  ///< Cold again within its incarnation.
+  kDoubtful,
+  kGone,
+};
 
 /// Name of a change for logs.
 const char* NameOf(TargetChange change) noexcept;
--- a/packages/fleet/src/membership/target_directory.cc
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -6,8 +6,8 @@
 namespace dogwoodport::fleet {
 namespace {
 
-constexpr std::array<const char*, 7> kChangeNames = {"none",    "joined",   "restarted", "leaving",
-                                                     "changed", "doubtful", "gone"};
+constexpr std::array<const char*, 8> kChangeNames = {
+    "none", "joined", "restarted", "leaving", "changed", "turned_cold", "doubtful", "gone"};
 
 TargetChange Compare(const TargetEntry& before, const TargetEntry& after) {
   if (after.incarnation != before.incarnation) return TargetChange::kRestarted;
@@ -35,6 +35,8 @@
   if (!joined && IsOlder(entry, target.entry)) return TargetChange::kNone;
   TargetChange change = joined ? TargetChange::kJoined : Compare(target.entry, entry);
   if (joined) target.first_seen = now;
+  const bool turned_cold = entry.cold_for > Duration{0} && !target.cold(now);
+  if (change == TargetChange::kNone && turned_cold) change = TargetChange::kTurnedCold;
   if (joined || change == TargetChange::kRestarted || entry.cold_for > Duration{0}) {
     target.cold_until = now + entry.cold_for;
   }
--- a/tests/fleet/unit-routing.cpp
+++ b/tests/fleet/unit-routing.cpp
@@ -159,6 +159,19 @@
   CHECK_FALSE(directory.Find("t")->cold(At(3'004)));
 }
 
+TEST_CASE("a target that turns cold again is a change, so that the other instances hear of it",
+          "[routing]") {
+  TargetDirectory directory;
+  directory.Apply(Entry(1, 5), At(0));
+  TargetEntry cold = Entry(1, 6);
+  cold.cold_for = milliseconds(2'000);
+  CHECK(directory.Apply(cold, At(100)) == TargetChange::kTurnedCold);
+  CHECK(directory.Find("t")->cold(At(2'000)));
+  cold.sequence = 7;
+  cold.cold_for = milliseconds(1'100);
+  CHECK(directory.Apply(cold, At(1'000)) == TargetChange::kNone);
+}
+
 TEST_CASE("an entry that goes while the store was away is doubtful until it is back or late",
           "[routing]") {
   TargetDirectory directory;
