Share reports in large fleets through the coordinator, and admit accounts from a common pool

Cause: with 79 instances the interval of reports, 1.3 s, was as long as the silence that starts a take-over, so the role changed hands 39 times in 20 s and nearly all instances read the store themselves. Each instance reported to all others, and each confirmed grant sent the whole table. Accounts were split by shares of the rate that were too small for whole requests.

- The coordinator reports at a fixed rate; instances with more of the processor lead first.
- Above 16 others, instances report to the coordinator only, which sends digests; loads go to 16 neighbours of the same data centre.
- Changes of the table are sent instead of the table, several at a time.
- Instances report what they have admitted.
Each keeps account of the pool that rate and burst leave, and keeps to its share only when it is low.
A part of the operators' tolerance is used as rate.

--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -23,14 +23,16 @@
   /// "ip:port".
   std::string caller_address;
   std::string readiness_address;
-  std::string readiness_path;
   std::string peer_address;
   std::string metrics_address;
   /// Microseconds of Unix time.
   std::uint64_t incarnation = 0;
+  /// Part of a core that the process may use; the best equipped instances lead first.
+  double processor_share = 1;
   /// Connections from callers.
   std::size_t caller_connections = 3'000;
   RetryBound retry_bound;
+  AccountTolerance account_tolerance;
   /// Bounds of the requests that a cold target gets in a second.
   double cold_factor = 1.5;
   double cold_extra = 5;
@@ -88,13 +90,19 @@
   void Register();
   void ReadInstances();
 
-  void PrepareReport(PeerReport& report, const Peer& to);
+  void PrepareReport(PeerReport& report, bool to_coordinator);
+  void PrepareDigest(PeerDigest& digest);
+  void OnDigest(const PeerDigest& digest, const Peer& sender);
+  /// Reports what was admitted before its turn, if that is much.
+  void HastenReports();
   void PrepareLoad(PeerLoad& load);
   void OnLoad(const PeerLoad& before, const PeerLoad& load);
   void OnReport(const Peer& peer);
   void OnTable(const std::string& bytes);
+  void OnTableChange(const std::string& bytes);
   void AdoptTable(KeyTable table, const char* source);
   void ReadTableFromStore();
+  void PublishTable(const KeyTable& table);
   CoordinatorPorts MakePorts();
   BucketRates KeyLoad(const std::string& service);
   double CapacityOf(const Target& target) const;
@@ -115,6 +123,7 @@
   const TargetProtocol& protocol_;
   JsonLinesLog& log_;
   FleetView view_;
+  AccountExchange accounts_;
   Forwarder forwarder_;
   net::HttpServer callers_;
   net::HttpServer readiness_;
@@ -138,6 +147,12 @@
   TimePoint instances_at_{};
   TimePoint table_read_at_{};
   bool reading_table_ = false;
+  /// A change of the table did not fit the one that this instance has.
+  bool wants_table_ = false;
+  /// The table as it was sent last, and those instances whose reports showed an older one.
+  KeyTable sent_table_;
+  std::map<std::string, std::uint64_t> behind_;
+  net::TimerId table_timer_;
   volatile std::sig_atomic_t stop_requested_ = 0;
   TimePoint stopping_at_{};
   /// Latest time at which a caller's connection was open during the shutdown.
--- a/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
@@ -3,9 +3,11 @@
 /// @file
 /// Keeps each client account within its rate and burst over all instances together.
 ///
-/// Each instance admits a part of the rate in proportion to the requests that arrive at it. Parts
-/// are computed by each instance from the demand that all report; instances that have gone silent
-/// keep an equal part reserved, since they may be alive on the other side of a partition.
+/// All instances tell each other what they have admitted. Each keeps account of the pool: the
+/// tokens that rate and burst leave over all instances. While the pool has some, requests are
+/// admitted wherever they arrive. When it runs low, each instance keeps to a part of the rate in
+/// proportion to the requests that arrive at it. Instances that have gone silent keep an equal part
+/// reserved, since they may be alive on the other side of a partition.
 
 #include <map>
 #include <string>
@@ -22,8 +24,28 @@
 /// counts those others, `silent` the known ones that do not report.
 double ShareOf(double own, double others, std::size_t reachable, std::size_t silent) noexcept;
 
+/// What the operators tolerate beyond the rate and burst of an account, because no instance knows
+/// at once what the others admit: in any `window`, `overshoot` times what rate and burst allow in
+/// it, and `slack` requests.
+struct AccountTolerance {
+  Duration window{5'000'000};
+  double overshoot = 0;
+  double slack = 0;
+};
+
+/// What an instance reports of one account.
+struct AccountUse {
+  std::string account;
+  /// Requests per second that arrive, refused ones included.
+  double demand = 0;
+  /// Requests admitted since the start of the instance.
+  std::uint32_t admitted = 0;
+};
+
 class AccountLimiter {
  public:
+  explicit AccountLimiter(AccountTolerance tolerance = {}) : tolerance_(tolerance) {}
+
   /// Sets the limits of one account; a rate of 0 means no limit. Returns whether they changed.
   bool Configure(const std::string& account, double rate, double burst);
   /// Forgets accounts that are not in `names`.
@@ -33,6 +55,8 @@
   void SetInstances(std::size_t reachable, std::size_t silent) noexcept;
   /// Sets the demand for an account at all reachable other instances.
   void SetOthersDemand(const std::string& account, double per_second);
+  /// Counts requests that other instances have admitted.
+  void OnOthersAdmitted(const std::string& account, double n, TimePoint now);
 
   struct Decision {
     bool admitted = true;
@@ -42,30 +66,42 @@
   /// Admits or refuses one request. Complexity: constant on average.
   Decision Admit(const std::string& account, TimePoint now);
 
-  /// Requests per second that arrived here, refused ones included, by account, for the next report
-  /// to the other instances. The shares go by what was reported last.
-  std::vector<std::pair<std::string, double>> Demand(TimePoint now);
+  /// The accounts in use, for the next report to the other instances.
+  std::vector<AccountUse> Report(TimePoint now);
+
+  /// What was reported last of an account.
+  AccountUse Reported(const std::string& account) const;
+
+  /// Whether so much was admitted since the last report that the pool would be overdrawn if all
+  /// instances did the same; the others should hear of it before the next regular report.
+  bool ReportIsUrgent() const noexcept { return report_is_urgent_; }
 
  private:
   struct Entry {
     double rate = 0;
     double burst = 0;
     double others_demand = 0;
-    /// Own demand as it was reported last.
-    double reported_demand = 0;
+    AccountUse reported;
+    std::uint32_t admitted = 0;
     RateMeter demand{Duration{2'000'000}};
+    /// This instance's part of the rate.
     TokenBucket bucket;
-    /// Whether the bucket got its first tokens.
-    bool started = false;
+    double pool = 0;
+    TimePoint pool_at{};
   };
 
   void Refresh(Entry& entry, TimePoint now) noexcept;
-  double EvenShare() const noexcept;
-  bool MayGoIntoDebt(Entry& entry, TimePoint now) const;
+  /// Rate that all instances together aim at: that of the account and a part of the tolerance, so
+  /// that errors of the shares refuse nobody who is within the rate.
+  double TargetRate(const Entry& entry) const noexcept;
+  /// Whether the pool has so much that the shares are of no consequence.
+  bool IsOpen(const Entry& entry) const;
 
+  AccountTolerance tolerance_;
   std::unordered_map<std::string, Entry> entries_;
   std::size_t reachable_ = 0;
   std::size_t silent_ = 0;
+  bool report_is_urgent_ = false;
 };
 
 }  // namespace dogwoodport::fleet
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "dogwoodport/fleet/event_log.h"
+#include "dogwoodport/fleet/limits/account_exchange.h"
 #include "dogwoodport/fleet/ownership/key_load.h"
 #include "dogwoodport/fleet/state/metadata_store.h"
 #include "dogwoodport/net/event_loop.h"
@@ -29,21 +30,25 @@
   /// Sender's clock in microseconds, which the coordinator uses to date what it passes on.
   std::int64_t stamp_us = 0;
   std::string data_centre;
+  /// Processor share of the sender's machine, in cores.
+  float processor_share = 0;
   bool leading = false;
   bool leaving = false;
   /// Time since the sender last reached the store.
   std::uint32_t store_age_ms = 0;
-  std::uint64_t config_version = 0;
-  /// Newest table of owners that the sender knows.
+  /// Newest table of owners that the sender knows, and whether it asks for the whole table.
   std::uint64_t generation = 0;
   std::uint64_t revision = 0;
-  /// Requests per second by client account.
-  std::vector<std::pair<std::uint64_t, float>> demand;
+  bool wants_table = false;
+  /// Sent before its turn, because an account has used much.
+  bool urgent = false;
+  std::vector<AccountReport> accounts;
   /// Busiest keys by service; sent to the coordinator only.
   std::vector<std::pair<std::uint64_t, std::vector<BucketRate>>> key_load;
 
-  MSGPACK_DEFINE_ARRAY(address, incarnation, number, stamp_us, data_centre, leading, leaving,
-                       store_age_ms, config_version, generation, revision, demand, key_load)
+  MSGPACK_DEFINE_ARRAY(address, incarnation, number, stamp_us, data_centre, processor_share, leading,
+                       leaving, store_age_ms, generation, revision, wants_table, urgent, accounts,
+                       key_load)
 };
 
 /// Requests that an instance has in flight, by hash of the target. Sent more often than reports,
@@ -56,6 +61,19 @@
   MSGPACK_DEFINE_ARRAY(address, number, in_flight)
 };
 
+/// What the coordinator knows of all instances. In a large fleet it stands in for the reports of
+/// the other instances, which then report to the coordinator only.
+struct PeerDigest {
+  std::string address;
+  std::uint64_t number = 0;
+  /// Addresses of the instances that the coordinator hears and that are not leaving.
+  std::vector<std::string> present;
+  /// Accounts over all these instances.
+  std::vector<AccountReport> accounts;
+
+  MSGPACK_DEFINE_ARRAY(address, number, present, accounts)
+};
+
 /// What the coordinator has read from a feed of the store, for one other instance. It spares the
 /// others their own reads.
 struct FeedPush {
@@ -89,6 +107,18 @@
   /// intervals grow.
   double most_reports_per_s = 60;
   double most_loads_per_s = 200;
+  /// Instances up to which all report to each other. In a larger fleet they report to the
+  /// coordinator, which sends digests to all, and only loads go to this many of the others.
+  std::size_t most_neighbours = 16;
+  /// Interval of the reports to the coordinator, and of its digests.
+  Duration digest_interval{500'000};
+  /// Shortest time between two digests.
+  Duration urgent_digest_interval{100'000};
+  /// Reports that the coordinator sends per second at most. Its reports come more often, because
+  /// its silence starts a take-over.
+  double most_coordinator_reports_per_s = 400;
+  /// Silence of the coordinator, in its intervals, that starts a take-over.
+  int coordinator_intervals = 4;
   /// An instance that has been silent for this long does not count as reachable.
   Duration silence{1'100'000};
   /// An instance that has been silent for this long is forgotten.
@@ -97,25 +127,37 @@
   Duration unheard_retention{4'000'000};
 };
 
+/// How an instance presents itself to the others.
+struct PeerIdentity {
+  /// "ip:port" of the exchange.
+  std::string address;
+  std::string data_centre;
+  std::uint64_t incarnation = 0;
+};
+
 class PeerExchange : public net::Watcher {
  public:
   /// Opens the socket. Throws net::NetError if that fails.
-  PeerExchange(net::EventLoop& loop, EventLog& log, PeerSettings settings,
-               const std::string& address, std::uint64_t incarnation);
+  PeerExchange(net::EventLoop& loop, EventLog& log, PeerSettings settings, PeerIdentity identity);
   ~PeerExchange() override;
   PeerExchange(const PeerExchange&) = delete;
   PeerExchange& operator=(const PeerExchange&) = delete;
 
   /// Fills in a report before it is sent.
-  std::function<void(PeerReport&, const Peer& to)> on_prepare;
+  std::function<void(PeerReport&, bool to_coordinator)> on_prepare;
   /// A report has arrived.
   std::function<void(const Peer&)> on_report;
   /// Fills in a load before it is sent.
   std::function<void(PeerLoad&)> on_prepare_load;
   /// The load of an instance has arrived; `before` is what it said last.
   std::function<void(const PeerLoad& before, const PeerLoad& load)> on_load;
-  /// A table of owners has arrived.
+  /// A table of owners, or a change of it, has arrived.
   std::function<void(const std::string& bytes)> on_table;
+  std::function<void(const std::string& bytes)> on_table_change;
+  /// Fills in the accounts of a digest before it is sent.
+  std::function<void(PeerDigest&)> on_prepare_digest;
+  /// A digest of the coordinator has arrived.
+  std::function<void(const PeerDigest&, const Peer& sender)> on_digest;
 
   /// A part of a feed has arrived.
   std::function<void(const FeedPush&)> on_feed;
@@ -126,9 +168,22 @@
 
   /// Adds an instance from the directory of the store.
   void AddPeer(const std::string& address);
-  /// Sends a report to all at once instead of waiting for the interval.
-  void ReportNow();
-  /// Sends a table of owners to all, or to one.
+  /// Sends a report to all that get one instead of waiting for the interval.
+  void ReportNow(bool urgent = false);
+  /// Sets whether this instance is the coordinator; a new one reports at once.
+  void SetLeading(bool leading);
+  /// Whether the fleet is so large that the instances report to the coordinator only.
+  bool IsLarge() const noexcept { return peers_.size() > settings_.most_neighbours; }
+  /// Whether it is, and there is a coordinator.
+  bool UsesDigests() const;
+  /// Time between the reports of an instance.
+  Duration ReportInterval(bool of_coordinator) const;
+  /// Silence of a coordinator that allows others to take over, at least `shortest`.
+  Duration CoordinatorSilence(Duration shortest) const;
+  /// Sends a digest soon instead of waiting for the interval, if this is the coordinator.
+  void HastenDigest();
+  /// Sends a table of owners to all, or to one; or a change of it to all.
+  void SendTableChange(const std::string& bytes);
   void SendTable(const std::string& bytes);
   void SendTable(const std::string& bytes, const std::string& address);
 
@@ -145,9 +200,14 @@
 
  private:
   Duration Interval(Duration shortest, double most_per_s) const;
-  Duration ReportInterval() const;
+  void Report(bool to_all, bool urgent);
+  bool IsNeighbour(const std::string& address, const Peer& peer) const;
   void ScheduleReport();
   void ScheduleLoad();
+  void ScheduleDigest(Duration delay);
+  void SendDigest();
+  void ReceiveDigest(const PeerDigest& digest);
+  void SendToAll(char kind, const std::string& body);
   void SendLoad();
   void ReceiveLoad(PeerLoad load);
   void Receive(const char* data, std::size_t size);
@@ -159,15 +219,20 @@
   EventLog& log_;
   PeerSettings settings_;
   std::string address_;
+  std::string data_centre_;
   std::uint64_t incarnation_;
   Poco::Net::DatagramSocket socket_;
   std::map<std::string, Peer> peers_;
   net::TimerId report_timer_;
   net::TimerId load_timer_;
+  net::TimerId digest_timer_;
+  TimePoint digest_sent_at_{};
+  std::uint64_t digest_number_ = 0;
   std::uint64_t number_ = 0;
   std::uint64_t load_number_ = 0;
   /// The load that was sent last was empty, so that another empty one says nothing new.
   bool load_was_empty_ = false;
+  bool leading_ = false;
   std::uint64_t sent_bytes_ = 0;
 };
 
--- a/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
@@ -23,7 +23,8 @@
 /// Beliefs of this instance. Readers of feeds and peers write it, the forwarder reads it and adds
 /// what it observes.
 struct FleetView {
-  explicit FleetView(RetryBound retry_bound) : retry_budget(retry_bound) {}
+  FleetView(RetryBound retry_bound, AccountTolerance tolerance)
+      : accounts(tolerance), retry_budget(retry_bound) {}
 
   std::string data_centre;
   /// Known instances, this one included.
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -49,7 +49,8 @@
       store_(store),
       protocol_(protocol),
       log_(log),
-      view_(settings_.retry_bound),
+      view_(settings_.retry_bound, settings_.account_tolerance),
+      accounts_(view_.accounts),
       forwarder_(loop, view_, protocol, log, settings_.forwarder, settings_.incarnation),
       callers_(
           loop, settings_.caller_address,
@@ -71,7 +72,8 @@
           },
           [](const net::RequestFault& fault) { return PlainAnswer(fault.status, fault.text); }),
       caller_(loop, net::PoolLimits{}),
-      peers_(loop, log, settings_.peers, settings_.peer_address, settings_.incarnation),
+      peers_(loop, log, settings_.peers,
+             {settings_.peer_address, settings_.data_centre, settings_.incarnation}),
       coordinator_(MakePorts(), settings_.coordinator, settings_.peer_address),
       operators_(
           loop, store, log,
@@ -97,12 +99,19 @@
       leaderless_since_(loop.now()) {
   view_.data_centre = settings_.data_centre;
   callers_.limits().connections = settings_.caller_connections;
-  peers_.on_prepare = [this](PeerReport& report, const Peer& to) { PrepareReport(report, to); };
+  peers_.on_prepare = [this](PeerReport& report, bool to_coordinator) {
+    PrepareReport(report, to_coordinator);
+  };
   peers_.on_report = [this](const Peer& peer) { OnReport(peer); };
   peers_.on_prepare_load = [this](PeerLoad& load) { PrepareLoad(load); };
   peers_.on_load = [this](const PeerLoad& before, const PeerLoad& load) { OnLoad(before, load); };
   peers_.on_feed = [this](const FeedPush& push) { OnFeedPush(push); };
   peers_.on_table = [this](const std::string& bytes) { OnTable(bytes); };
+  peers_.on_table_change = [this](const std::string& bytes) { OnTableChange(bytes); };
+  peers_.on_prepare_digest = [this](PeerDigest& digest) { PrepareDigest(digest); };
+  peers_.on_digest = [this](const PeerDigest& digest, const Peer& sender) {
+    OnDigest(digest, sender);
+  };
 }
 
 Instance::~Instance() = default;
@@ -142,24 +151,42 @@
   if (drained || since >= settings_.shutdown_grace - kExitMargin) loop_.Stop();
 }
 
-void Instance::PrepareReport(PeerReport& report, const Peer& to) {
+void Instance::PrepareReport(PeerReport& report, bool to_coordinator) {
   const TimePoint now = loop_.now();
   report.data_centre = settings_.data_centre;
+  report.wants_table = wants_table_;
+  report.processor_share = static_cast<float>(settings_.processor_share);
   report.leading = coordinator_.leading();
   report.leaving = stopping_;
   report.store_age_ms = static_cast<std::uint32_t>((now - operators_.verified_at()).count() / 1000);
-  report.config_version = view_.config ? view_.config->version() : 0;
   report.generation = view_.keys.generation;
   report.revision = view_.keys.revision;
-  for (const auto& [name, rate] : view_.accounts.Demand(now)) {
-    report.demand.emplace_back(HashOf(name), static_cast<float>(rate));
-  }
-  if (!to.report.leading) return;
+  // The digests of the coordinator hold its own accounts too.
+  if (coordinator_.leading() && peers_.UsesDigests()) return;
+  report.accounts = accounts_.MakeReport(now);
+  if (!to_coordinator) return;
   for (auto& [service, rates] : view_.key_load.Busiest(now, settings_.reported_buckets)) {
     report.key_load.emplace_back(HashOf(service), std::move(rates));
   }
 }
 
+void Instance::PrepareDigest(PeerDigest& digest) {
+  digest.accounts = accounts_.MakeDigest(loop_.now());
+}
+
+void Instance::OnDigest(const PeerDigest& digest, const Peer& sender) {
+  accounts_.OnDigest({digest.address, sender.report.incarnation}, digest.accounts, loop_.now());
+}
+
+void Instance::HastenReports() {
+  if (!view_.accounts.ReportIsUrgent()) return;
+  if (coordinator_.leading()) {
+    peers_.HastenDigest();
+  } else if (peers_.UsesDigests() || !peers_.IsLarge()) {
+    peers_.ReportNow(true);
+  }
+}
+
 void Instance::PrepareLoad(PeerLoad& load) {
   for (const auto& [id, health] : view_.health) {
     if (health.in_flight() > 0) {
@@ -185,6 +212,8 @@
   if (forwarder_.waiting() > 0) forwarder_.Offer();
   coordinator_.Tick();
   CheckCoordinator();
+  peers_.SetLeading(coordinator_.leading());
+  HastenReports();
   operators_.SetAlwaysReads(coordinator_.leading());
   targets_.SetAlwaysReads(coordinator_.leading());
   if (now >= shares_at_) RefreshShares();
@@ -199,22 +228,18 @@
 void Instance::RefreshShares() {
   const TimePoint now = loop_.now();
   shares_at_ = now + kSharesInterval;
-  std::unordered_map<std::uint64_t, double> demand;
-  std::size_t reachable = 0;
-  for (const auto& [address, peer] : peers_.peers()) {
-    if (!peers_.Reachable(peer)) continue;
-    if (!peer.report.leaving) ++reachable;
-    for (const auto& [name, rate] : peer.report.demand) demand[name] += rate;
-  }
+  const auto reachable = static_cast<std::size_t>(
+      std::count_if(peers_.peers().begin(), peers_.peers().end(), [this](const auto& it) {
+        return peers_.Reachable(it.second) && !it.second.report.leaving;
+      }));
   const std::size_t known = peers_.peers().size();
   view_.accounts.SetInstances(reachable, known - std::min(known, reachable));
   view_.instances = known + 1;
   view_.retry_budget.SetInstances(known + 1);
-  if (view_.config) {
-    for (const Account& it : view_.config->accounts()) {
-      view_.accounts.SetOthersDemand(it.name, demand[HashOf(it.name)]);
-    }
+  for (const auto& [address, peer] : peers_.peers()) {
+    if (!peers_.Reachable(peer)) accounts_.SetSilent(address);
   }
+  accounts_.UpdateDemand(now);
   // All known instances, silent ones too, so that instances with different views of who is
   // reachable, as after a common restart, still choose the same senders.
   const std::vector<std::string> others = peers_.KnownAddresses();
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -13,9 +13,12 @@
 namespace {
 
 constexpr Duration kTableReadInterval{1'000'000};
-/// Time after the start before this instance tries to become the coordinator, so that it can hear
-/// the present one.
-constexpr Duration kQuietStart{700'000};
+/// Changes of the table within this time are sent to the other instances together.
+constexpr Duration kTablePause{5'000};
+constexpr Duration kTablePausePerPeer{500};
+/// Time after the start, besides the interval of reports, before this instance tries to become the
+/// coordinator, so that it can hear the present one.
+constexpr Duration kQuietStart{450'000};
 /// Instances take over one after the other, in the order of their addresses.
 constexpr Duration kTakeOverStep{150'000};
 /// Time for which a new coordinator is left alone by the one that it replaced.
@@ -29,17 +32,47 @@
 
 void Instance::OnReport(const Peer& peer) {
   const PeerReport& report = peer.report;
+  accounts_.OnReport({report.address, report.incarnation}, report.accounts, loop_.now());
   if (report.leading && coordinator_.leading() && report.generation > view_.keys.generation) {
     coordinator_.StepDown("another instance leads a newer generation");
     leaderless_since_ = loop_.now() + kAfterStepDown;
   }
   if (!coordinator_.leading()) return;
-  const bool behind = std::pair(report.generation, report.revision) <
-                      std::pair(view_.keys.generation, view_.keys.revision);
-  if (behind) peers_.SendTable(Encode(view_.keys), report.address);
+  if (report.urgent) peers_.HastenDigest();
+  const bool same_generation = report.generation == view_.keys.generation;
+  if (same_generation && report.revision >= view_.keys.revision) {
+    behind_.erase(report.address);
+    return;
+  }
+  // A report may cross a change on its way; one that is still behind what was current at the time
+  // of the report before has lost it.
+  const auto [it, is_new] = behind_.try_emplace(report.address, view_.keys.revision);
+  const bool lost = !same_generation || report.wants_table ||
+                    (!is_new && report.revision < it->second);
+  if (!is_new) it->second = view_.keys.revision;
+  if (lost) peers_.SendTable(Encode(view_.keys), report.address);
+}
+
+void Instance::OnTable(const std::string& bytes) {
+  wants_table_ = false;
+  AdoptTable(DecodeKeyTable(bytes), "peer");
 }
 
-void Instance::OnTable(const std::string& bytes) { AdoptTable(DecodeKeyTable(bytes), "peer"); }
+void Instance::OnTableChange(const std::string& bytes) {
+  if (coordinator_.leading()) return;
+  const KeyTableChange change = DecodeKeyTableChange(bytes);
+  const bool known = std::pair(change.generation, change.to_revision) <=
+                     std::pair(view_.keys.generation, view_.keys.revision);
+  if (known) return;
+  KeyTable table = view_.keys;
+  if (Apply(change, table)) {
+    AdoptTable(std::move(table), "change");
+    return;
+  }
+  if (wants_table_) return;
+  wants_table_ = true;
+  peers_.ReportNow();
+}
 
 void Instance::AdoptTable(KeyTable table, const char* source) {
   if (coordinator_.leading() || !table.NewerThan(view_.keys)) return;
@@ -100,14 +133,28 @@
   ports.may_grow = [this](const Target& target) {
     return view_.Usable(target, loop_.now()) && !target.cold(loop_.now()) && !target.doubtful_until;
   };
-  ports.on_table = [this](const KeyTable& table) {
-    view_.keys = table;
-    peers_.SendTable(Encode(table));
-    forwarder_.Offer();
-  };
+  ports.on_table = [this](const KeyTable& table) { PublishTable(table); };
   return ports;
 }
 
+void Instance::PublishTable(const KeyTable& table) {
+  view_.keys = table;
+  forwarder_.Offer();
+  // Many ranges become ready at nearly the same time after a take-over.
+  if (table_timer_ != net::TimerId{}) return;
+  const Duration delay = kTablePause + kTablePausePerPeer * peers_.peers().size();
+  table_timer_ = loop_.RunAfter(delay, [this] {
+    table_timer_ = net::TimerId{};
+    if (!coordinator_.leading()) return;
+    if (const auto change = Difference(sent_table_, view_.keys)) {
+      peers_.SendTableChange(Encode(*change));
+    } else {
+      peers_.SendTable(Encode(view_.keys));
+    }
+    sent_table_ = view_.keys;
+  });
+}
+
 BucketRates Instance::KeyLoad(const std::string& service) {
   BucketRates rates(kBucketCount, 0.0);
   const auto add = [&rates](const std::vector<BucketRate>& buckets) {
@@ -137,6 +184,7 @@
   const TimePoint now = loop_.now();
   if (coordinator_.leading() || coordinator_.taking_over() || stopping_) return;
   const Duration own_store_age = now - operators_.verified_at();
+  const Duration silence = peers_.CoordinatorSilence(settings_.coordinator_silence);
   std::size_t rank = 0;
   bool has_coordinator = false;
   for (const auto& [address, peer] : peers_.peers()) {
@@ -145,10 +193,13 @@
     // A coordinator that has lost the store is replaced by an instance that reaches it.
     const bool cut_off = report.store_age_ms > kLostStoreMs && own_store_age < kReachedStore;
     if (report.leading && !report.leaving && !cut_off &&
-        now - peer.heard_at <= settings_.coordinator_silence) {
+        now - peer.heard_at <= silence) {
       has_coordinator = true;
     }
-    if (!report.leaving && address < settings_.peer_address) ++rank;
+    const bool better = std::pair(-report.processor_share, address) <
+                        std::pair(-static_cast<float>(settings_.processor_share),
+                                  settings_.peer_address);
+    if (!report.leaving && better) ++rank;
   }
   if (has_coordinator) {
     leaderless_since_ = std::max(leaderless_since_, now);
@@ -156,9 +207,10 @@
   }
   if (!reading_table_ && now >= table_read_at_) ReadTableFromStore();
   const bool loaded = view_.config && targets_.loaded();
-  if (!loaded || now - started_at_ < kQuietStart) return;
+  const Duration quiet = kQuietStart + peers_.ReportInterval(false);
+  if (!loaded || now - started_at_ < quiet) return;
   if (now - leaderless_since_ < kTakeOverStep * static_cast<Duration::rep>(rank + 1)) return;
-  leaderless_since_ = now + settings_.coordinator_silence;
+  leaderless_since_ = now + silence;
   coordinator_.TakeOver();
 }
 
--- a/packages/fleet/src/limits/account_limiter.cc
+++ b/packages/fleet/src/limits/account_limiter.cc
@@ -10,11 +10,19 @@
 constexpr double kEvenPart = 0.1;
 /// Fewest tokens that an instance may keep, so that a small share can admit whole requests.
 constexpr double kSmallestCap = 1.0;
-/// Tokens that an instance may owe at least while the account is far below its rate.
-constexpr double kSmallestDebt = 3.0;
-/// While the demand of all instances is below this part of the rate, the shares are of no
-/// consequence, and an instance without a token goes into debt.
-constexpr double kRelaxedPart = 0.85;
+/// Part of the burst that the instances' buckets may hold; the rest is in the pool only.
+constexpr double kBucketPart = 0.3;
+/// Tokens that an instance may owe while the pool has some. It bounds what is admitted before the
+/// others know.
+constexpr double kSmallestDebt = 6.0;
+/// Part of the tolerance that is used as rate. The rest covers what the others do not know yet.
+constexpr double kUsedTolerance = 0.5;
+/// Part of the burst below which the pool counts as low.
+constexpr double kPoolReserve = 0.2;
+/// Part of the pool that all instances together may use between two reports.
+constexpr double kUnreportedPart = 0.7;
+/// Instances of which one may be silent, so that the pool counts as known.
+constexpr std::size_t kSilentFactor = 10;
 /// Demand below which an account is left out of the reports, in requests per second.
 constexpr double kReportedDemand = 0.01;
 /// Bounds of the time that a refused caller is told to wait.
@@ -57,25 +65,39 @@
   }
 }
 
+void AccountLimiter::OnOthersAdmitted(const std::string& account, double n, TimePoint now) {
+  const auto it = entries_.find(account);
+  if (it == entries_.end()) return;
+  Refresh(it->second, now);
+  it->second.pool -= n;
+}
+
 void AccountLimiter::Refresh(Entry& entry, TimePoint now) noexcept {
   entry.bucket.Update(now);  // Tokens up to now accrue at the old share.
   // The demand that the others know of: with a newer one the shares would add up to more than 1.
-  const double share = ShareOf(entry.reported_demand, entry.others_demand, reachable_, silent_);
-  const double cap = std::max(kSmallestCap, entry.burst * share);
-  entry.bucket.Configure(entry.rate * share, cap);
-  if (entry.started) return;
-  entry.started = true;
-  entry.bucket.Add(std::max(kSmallestCap, entry.burst * EvenShare()));
+  const double share = ShareOf(entry.reported.demand, entry.others_demand, reachable_, silent_);
+  const double cap = std::max(kSmallestCap, kBucketPart * entry.burst * share);
+  entry.bucket.Configure(TargetRate(entry) * share, cap);
+  const double most = std::max(1.0, entry.burst);
+  const bool is_new = entry.pool_at == TimePoint{};
+  const double accrued = is_new ? most : TargetRate(entry) * Seconds(now - entry.pool_at);
+  // A long excess is not held against what follows.
+  entry.pool = std::clamp(entry.pool + accrued, -most, most);
+  entry.pool_at = now;
 }
 
-double AccountLimiter::EvenShare() const noexcept {
-  return 1.0 / static_cast<double>(reachable_ + silent_ + 1);
+double AccountLimiter::TargetRate(const Entry& entry) const noexcept {
+  const double window = Seconds(tolerance_.window);
+  const double tolerated =
+      (entry.rate * window + entry.burst) * tolerance_.overshoot + tolerance_.slack;
+  return entry.rate + kUsedTolerance * tolerated / window;
 }
 
-bool AccountLimiter::MayGoIntoDebt(Entry& entry, TimePoint now) const {
-  const double demand = entry.demand.PerSecond(now) + entry.others_demand;
-  const double deepest = std::max(kSmallestDebt, entry.burst * EvenShare());
-  return silent_ == 0 && demand < kRelaxedPart * entry.rate && entry.bucket.tokens() > -deepest;
+bool AccountLimiter::IsOpen(const Entry& entry) const {
+  const bool most_report = silent_ * kSilentFactor <= reachable_ + 1;
+  const double even = entry.burst / static_cast<double>(reachable_ + silent_ + 1);
+  return most_report && entry.pool >= kPoolReserve * std::max(1.0, entry.burst) &&
+         entry.bucket.tokens() > -std::max(kSmallestDebt, even);
 }
 
 AccountLimiter::Decision AccountLimiter::Admit(const std::string& account, TimePoint now) {
@@ -85,9 +107,14 @@
   entry.demand.Add(now);
   if (entry.rate <= 0) return {};
   Refresh(entry, now);
-  if (entry.bucket.Take(now)) return {};
-  if (MayGoIntoDebt(entry, now)) {
+  if (IsOpen(entry) || entry.bucket.tokens() >= 1) {
     entry.bucket.Add(-1);
+    entry.pool -= 1;
+    ++entry.admitted;
+    const double unreported = entry.admitted - entry.reported.admitted;
+    const auto instances = static_cast<double>(reachable_ + 1);
+    report_is_urgent_ =
+        report_is_urgent_ || unreported * instances > kUnreportedPart * entry.pool;
     return {};
   }
   const double missing = 1 - entry.bucket.tokens();
@@ -95,15 +122,21 @@
   return {false, std::clamp(FromSeconds(missing / rate), kShortestRetry, kLongestRetry)};
 }
 
-std::vector<std::pair<std::string, double>> AccountLimiter::Demand(TimePoint now) {
-  std::vector<std::pair<std::string, double>> result;
+std::vector<AccountUse> AccountLimiter::Report(TimePoint now) {
+  std::vector<AccountUse> result;
+  report_is_urgent_ = false;
   for (auto& [name, entry] : entries_) {
-    entry.reported_demand = entry.demand.PerSecond(now);
-    if (entry.reported_demand > kReportedDemand) {
-      result.emplace_back(name, entry.reported_demand);
-    }
+    const AccountUse use{name, entry.demand.PerSecond(now), entry.admitted};
+    const bool changed = use.admitted != entry.reported.admitted;
+    entry.reported = use;
+    if (use.demand > kReportedDemand || changed) result.push_back(use);
   }
   return result;
 }
 
+AccountUse AccountLimiter::Reported(const std::string& account) const {
+  const auto it = entries_.find(account);
+  return it == entries_.end() ? AccountUse{} : it->second.reported;
+}
+
 }  // namespace dogwoodport::fleet
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -13,7 +13,9 @@
 constexpr char kReportKind = 'r';
 constexpr char kLoadKind = 'l';
 constexpr char kTableKind = 't';
+constexpr char kTableChangeKind = 'c';
 constexpr char kFeedKind = 'f';
+constexpr char kDigestKind = 'd';
 constexpr std::size_t kLargestDatagram = 65'000;
 /// Datagrams read in one round.
 constexpr int kReadsPerRound = 64;
@@ -35,13 +37,18 @@
 }  // namespace
 
 PeerExchange::PeerExchange(net::EventLoop& loop, EventLog& log, PeerSettings settings,
-                           const std::string& address, std::uint64_t incarnation)
-    : loop_(loop), log_(log), settings_(settings), address_(address), incarnation_(incarnation) {
+                           PeerIdentity identity)
+    : loop_(loop),
+      log_(log),
+      settings_(settings),
+      address_(identity.address),
+      data_centre_(std::move(identity.data_centre)),
+      incarnation_(identity.incarnation) {
   try {
-    socket_.bind(Poco::Net::SocketAddress(address), true);
+    socket_.bind(Poco::Net::SocketAddress(address_), true);
     socket_.setBlocking(false);
   } catch (const Poco::Exception& e) {
-    throw net::NetError("cannot bind " + address + ": " + e.displayText());
+    throw net::NetError("cannot bind " + address_ + ": " + e.displayText());
   }
   loop_.Watch(socket_, Poco::Net::PollSet::POLL_READ, this);
   ScheduleReport();
@@ -51,6 +58,7 @@
 PeerExchange::~PeerExchange() {
   loop_.Cancel(report_timer_);
   loop_.Cancel(load_timer_);
+  loop_.Cancel(digest_timer_);
   loop_.Unwatch(socket_);
 }
 
@@ -58,12 +66,102 @@
   return std::max(shortest, FromSeconds(static_cast<double>(peers_.size()) / most_per_s));
 }
 
-Duration PeerExchange::ReportInterval() const {
+Duration PeerExchange::ReportInterval(bool of_coordinator) const {
+  if (of_coordinator) {
+    return Interval(settings_.report_interval, settings_.most_coordinator_reports_per_s);
+  }
+  if (UsesDigests()) {
+    return Interval(settings_.digest_interval, settings_.most_coordinator_reports_per_s);
+  }
   return Interval(settings_.report_interval, settings_.most_reports_per_s);
 }
 
+bool PeerExchange::UsesDigests() const {
+  if (!IsLarge()) return false;
+  if (leading_) return true;
+  const TimePoint now = loop_.now();
+  const Duration limit = CoordinatorSilence(settings_.silence);
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
+    return it.second.heard && it.second.report.leading && now - it.second.heard_at <= limit;
+  });
+}
+
+bool PeerExchange::IsNeighbour(const std::string& address, const Peer& peer) const {
+  if (!IsLarge()) return true;
+  if (peer.report.data_centre != data_centre_) return false;
+  // The next ones in the order of the addresses, in a ring.
+  std::size_t between = 0;
+  const bool wraps = address < address_;
+  for (const auto& [other, it] : peers_) {
+    if (it.report.data_centre != data_centre_) continue;
+    const bool after = other > address_;
+    const bool before = other < address;
+    if (wraps ? after || before : after && before) ++between;
+  }
+  return between < settings_.most_neighbours;
+}
+
+Duration PeerExchange::CoordinatorSilence(Duration shortest) const {
+  return std::max(shortest, ReportInterval(true) * settings_.coordinator_intervals);
+}
+
+void PeerExchange::SetLeading(bool leading) {
+  if (leading_ == leading) return;
+  leading_ = leading;
+  loop_.Cancel(report_timer_);
+  loop_.Cancel(digest_timer_);
+  Report(true, false);
+  ScheduleReport();
+  if (leading_) ScheduleDigest(settings_.digest_interval);
+}
+
+void PeerExchange::ScheduleDigest(Duration delay) {
+  loop_.Cancel(digest_timer_);
+  digest_timer_ = loop_.RunAfter(delay, [this] {
+    SendDigest();
+    ScheduleDigest(Interval(settings_.digest_interval, settings_.most_coordinator_reports_per_s));
+  });
+}
+
+void PeerExchange::HastenDigest() {
+  if (!leading_ || !UsesDigests()) return;
+  const TimePoint due = digest_sent_at_ + settings_.urgent_digest_interval;
+  ScheduleDigest(std::max(Duration{0}, due - loop_.now()));
+}
+
+void PeerExchange::SendDigest() {
+  if (!UsesDigests()) return;
+  digest_sent_at_ = loop_.now();
+  PeerDigest digest;
+  digest.address = address_;
+  digest.number = ++digest_number_;
+  for (const auto& [address, peer] : peers_) {
+    if (Reachable(peer) && !peer.report.leaving) digest.present.push_back(address);
+  }
+  if (on_prepare_digest) on_prepare_digest(digest);
+  SendToAll(kDigestKind, Pack(digest));
+}
+
+void PeerExchange::ReceiveDigest(const PeerDigest& digest) {
+  const auto sender = peers_.find(digest.address);
+  if (sender == peers_.end() || !sender->second.report.leading) return;
+  // An instance that has stepped down may have told the new coordinator only.
+  const std::uint64_t generation = sender->second.report.generation;
+  for (auto& [address, peer] : peers_) {
+    if (peer.report.generation < generation) peer.report.leading = false;
+  }
+  for (const std::string& address : digest.present) {
+    if (address == address_) continue;
+    AddPeer(address);
+    Peer& peer = peers_[address];
+    peer.heard = true;
+    peer.heard_at = loop_.now();
+  }
+  if (on_digest) on_digest(digest, sender->second);
+}
+
 void PeerExchange::ScheduleReport() {
-  report_timer_ = loop_.RunAfter(ReportInterval(), [this] {
+  report_timer_ = loop_.RunAfter(ReportInterval(leading_), [this] {
     ReportNow();
     ScheduleReport();
   });
@@ -87,7 +185,7 @@
   load_was_empty_ = load.in_flight.empty();
   const std::string body = Pack(load);
   for (const auto& [address, peer] : peers_) {
-    if (Reachable(peer)) SendTo(address, kLoadKind, body);
+    if (Reachable(peer) && IsNeighbour(address, peer)) SendTo(address, kLoadKind, body);
   }
 }
 
@@ -104,17 +202,26 @@
   if (added) it->second.known_since = loop_.now();
 }
 
-void PeerExchange::ReportNow() {
+void PeerExchange::ReportNow(bool urgent) {
   Forget();
-  ++number_;
+  Report(leading_ || !UsesDigests(), urgent);
+}
+
+void PeerExchange::Report(bool to_all, bool urgent) {
+  PeerReport report;
+  report.address = address_;
+  report.incarnation = incarnation_;
+  report.number = ++number_;
+  report.stamp_us = loop_.now().time_since_epoch().count();
+  report.urgent = urgent;
+  PeerReport full = report;
+  if (on_prepare) on_prepare(report, false);
+  if (on_prepare) on_prepare(full, true);
+  const std::string body = Pack(report);
+  const std::string full_body = Pack(full);
   for (const auto& [address, peer] : peers_) {
-    PeerReport report;
-    report.address = address_;
-    report.incarnation = incarnation_;
-    report.number = number_;
-    report.stamp_us = loop_.now().time_since_epoch().count();
-    if (on_prepare) on_prepare(report, peer);
-    SendTo(address, kReportKind, Pack(report));
+    const bool to_coordinator = peer.report.leading;
+    if (to_all || to_coordinator) SendTo(address, kReportKind, to_coordinator ? full_body : body);
   }
 }
 
@@ -126,8 +233,12 @@
   }
 }
 
-void PeerExchange::SendTable(const std::string& bytes) {
-  for (const auto& [address, peer] : peers_) SendTo(address, kTableKind, bytes);
+void PeerExchange::SendTable(const std::string& bytes) { SendToAll(kTableKind, bytes); }
+
+void PeerExchange::SendTableChange(const std::string& bytes) { SendToAll(kTableChangeKind, bytes); }
+
+void PeerExchange::SendToAll(char kind, const std::string& body) {
+  for (const auto& [address, peer] : peers_) SendTo(address, kind, body);
 }
 
 void PeerExchange::SendTable(const std::string& bytes, const std::string& address) {
@@ -163,6 +274,8 @@
   try {
     const std::string body(data + 1, size - 1);
     if (data[0] == kTableKind && on_table) on_table(body);
+    if (data[0] == kTableChangeKind && on_table_change) on_table_change(body);
+    if (data[0] == kDigestKind) ReceiveDigest(Unpack<PeerDigest>(body));
     if (data[0] == kFeedKind && on_feed) on_feed(Unpack<FeedPush>(body));
     if (data[0] == kReportKind) ReceiveReport(Unpack<PeerReport>(body));
     if (data[0] == kLoadKind) ReceiveLoad(Unpack<PeerLoad>(body));
@@ -205,7 +318,7 @@
 }
 
 bool PeerExchange::Reachable(const Peer& peer) const {
-  const Duration limit = std::max(settings_.silence, ReportInterval() * 3);
+  const Duration limit = std::max(settings_.silence, ReportInterval(peer.report.leading) * 3);
   return peer.heard && loop_.now() - peer.heard_at <= limit;
 }
 
