--- a/packages/fleet/include/dogwoodport/fleet/limits/account_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_exchange.h
@@ -53,7 +53,8 @@
                 TimePoint now);
 
   /// Hands the demand of the other instances to the limiter. Called a few times a second.
-  void UpdateDemand(TimePoint now);
+  /// `by_digests` tells that reports go to the coordinator, or would if there were one.
+  void UpdateDemand(TimePoint now, bool by_digests);
 
   /// Age of the newest digest from which on the reports count instead.
   static constexpr Duration kDigestAge{1'500'000};
@@ -66,6 +67,7 @@
   using Uses = std::unordered_map<std::uint64_t, Use>;
   struct Sender {
     std::uint64_t incarnation = 0;
+    TimePoint reported_at{};
     Uses uses;
   };
   /// Last state of an account in the digests.
--- a/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
@@ -58,6 +58,12 @@
   /// Counts requests that other instances have admitted.
   void OnOthersAdmitted(const std::string& account, double n, TimePoint now);
 
+  /// The other instances' admissions are known up to `now`. Without news for `kPoolAge` the pool
+  /// counts as low.
+  void SetKnown(TimePoint now) noexcept { known_at_ = now; }
+  /// What the others have admitted is not known for the time before `now`: empties the pools.
+  void OnUnknown(TimePoint now);
+
   struct Decision {
     bool admitted = true;
     /// When a token can be expected.
@@ -76,6 +82,8 @@
   /// instances did the same; the others should hear of it before the next regular report.
   bool ReportIsUrgent() const noexcept { return report_is_urgent_; }
 
+  static constexpr Duration kPoolAge{800'000};
+
  private:
   struct Entry {
     double rate = 0;
@@ -95,12 +103,13 @@
   /// that errors of the shares refuse nobody who is within the rate.
   double TargetRate(const Entry& entry) const noexcept;
   /// Whether the pool has so much that the shares are of no consequence.
-  bool IsOpen(const Entry& entry) const;
+  bool IsOpen(const Entry& entry, TimePoint now) const;
 
   AccountTolerance tolerance_;
   std::unordered_map<std::string, Entry> entries_;
   std::size_t reachable_ = 0;
   std::size_t silent_ = 0;
+  TimePoint known_at_{};
   bool report_is_urgent_ = false;
 };
 
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -239,7 +239,7 @@
   for (const auto& [address, peer] : peers_.peers()) {
     if (!peers_.Reachable(peer)) accounts_.SetSilent(address);
   }
-  accounts_.UpdateDemand(now);
+  accounts_.UpdateDemand(now, peers_.IsLarge() && !coordinator_.leading());
   // All known instances, silent ones too, so that instances with different views of who is
   // reachable, as after a common restart, still choose the same senders.
   const std::vector<std::string> others = peers_.KnownAddresses();
--- a/packages/fleet/src/limits/account_exchange.cc
+++ b/packages/fleet/src/limits/account_exchange.cc
@@ -5,6 +5,12 @@
 #include "dogwoodport/fleet/detail/name_hash.h"
 
 namespace dogwoodport::fleet {
+namespace {
+
+/// Time between two reports of a sender above which what it admitted in between does not count.
+constexpr Duration kLongestGap{3'000'000};
+
+}  // namespace
 
 void AccountExchange::SetAccounts(const std::vector<std::string>& names) {
   names_.clear();
@@ -22,8 +28,9 @@
 
 void AccountExchange::OnReport(const ReportSender& sender,
                                const std::vector<AccountReport>& report, TimePoint now) {
-  const auto [it, is_new] = senders_.try_emplace(sender.first);
-  Sender& known = it->second;
+  Sender& known = senders_[sender.first];
+  const bool is_new = now - known.reported_at > kLongestGap;
+  known.reported_at = now;
   if (known.incarnation != sender.second) {
     known.uses.clear();
     known.incarnation = sender.second;
@@ -31,7 +38,7 @@
   for (auto& [account, use] : known.uses) use.demand = 0;
   for (const AccountReport& account : report) {
     Use& use = known.uses[account.account];
-    // What a sender had admitted before this instance knew it is long past.
+    // What a sender admitted while it did not report here is past, or in the digests.
     if (!is_new && account.admitted > use.admitted) {
       Count(account.account, account.admitted - use.admitted, now);
     }
@@ -71,7 +78,11 @@
 void AccountExchange::OnDigest(const ReportSender& sender, const std::vector<AccountReport>& digest,
                                TimePoint now) {
   const bool follows = sender == digest_sender_;
-  if (!follows) digested_.clear();
+  if (!follows) {
+    digested_.clear();
+    limiter_.OnUnknown(now);
+  }
+  limiter_.SetKnown(now);
   digest_sender_ = sender;
   digest_at_ = now;
   for (auto& [account, last] : digested_) last.demand = 0;
@@ -90,7 +101,8 @@
   }
 }
 
-void AccountExchange::UpdateDemand(TimePoint now) {
+void AccountExchange::UpdateDemand(TimePoint now, bool by_digests) {
+  if (!by_digests) limiter_.SetKnown(now);
   const bool digested = digest_at_ != TimePoint{} && now - digest_at_ <= kDigestAge;
   for (const auto& [account, name] : names_) {
     double others = 0;
--- a/packages/fleet/src/limits/account_limiter.cc
+++ b/packages/fleet/src/limits/account_limiter.cc
@@ -16,7 +16,7 @@
 /// others know.
 constexpr double kSmallestDebt = 6.0;
 /// Part of the tolerance that is used as rate. The rest covers what the others do not know yet.
-constexpr double kUsedTolerance = 0.5;
+constexpr double kUsedTolerance = 0.4;
 /// Part of the burst below which the pool counts as low.
 constexpr double kPoolReserve = 0.2;
 /// Part of the pool that all instances together may use between two reports.
@@ -72,6 +72,14 @@
   it->second.pool -= n;
 }
 
+void AccountLimiter::OnUnknown(TimePoint now) {
+  for (auto& [name, entry] : entries_) {
+    if (entry.pool_at == TimePoint{}) continue;
+    Refresh(entry, now);
+    entry.pool = std::min(entry.pool, 0.0);
+  }
+}
+
 void AccountLimiter::Refresh(Entry& entry, TimePoint now) noexcept {
   entry.bucket.Update(now);  // Tokens up to now accrue at the old share.
   // The demand that the others know of: with a newer one the shares would add up to more than 1.
@@ -93,8 +101,10 @@
   return entry.rate + kUsedTolerance * tolerated / window;
 }
 
-bool AccountLimiter::IsOpen(const Entry& entry) const {
-  const bool most_report = silent_ * kSilentFactor <= reachable_ + 1;
+bool AccountLimiter::IsOpen(const Entry& entry, TimePoint now) const {
+  const bool alone = reachable_ + silent_ == 0;
+  const bool known = alone || now - known_at_ <= kPoolAge;
+  const bool most_report = known && silent_ * kSilentFactor <= reachable_ + 1;
   const double even = entry.burst / static_cast<double>(reachable_ + silent_ + 1);
   return most_report && entry.pool >= kPoolReserve * std::max(1.0, entry.burst) &&
          entry.bucket.tokens() > -std::max(kSmallestDebt, even);
@@ -107,7 +117,7 @@
   entry.demand.Add(now);
   if (entry.rate <= 0) return {};
   Refresh(entry, now);
-  if (IsOpen(entry) || entry.bucket.tokens() >= 1) {
+  if (IsOpen(entry, now) || entry.bucket.tokens() >= 1) {
     entry.bucket.Add(-1);
     entry.pool -= 1;
     ++entry.admitted;
--- a/standin/include/dogwoodport/standin/process.h
+++ b/standin/include/dogwoodport/standin/process.h
@@ -91,6 +91,8 @@
   }
 
   pid_t pid() const noexcept { return pid_; }
+  /// The process was waited for elsewhere.
+  void Forget() noexcept { pid_ = -1; }
 
   std::string Output() const {
     std::ifstream file(output_);
