Add the fault soak, and bound what an instance admits before it reports

tools/soak plays random faults on real daemons from outside and checks the promises while it runs.

Cause: 74 instances may each be a few requests ahead of what the others know while an account grows 7.5 times. An instance now admits at most its part of half the pool, or three requests, before the others hear of it, and reports as soon as it has used half of that.

--- a/packages/fleet/src/limits/account_limiter.cc
+++ b/packages/fleet/src/limits/account_limiter.cc
@@ -14,13 +14,15 @@
 constexpr double kBucketPart = 0.3;
 /// Tokens that an instance may owe while the pool has some. It bounds what is admitted before the
 /// others know.
-constexpr double kSmallestDebt = 6.0;
+constexpr double kSmallestDebt = 8.0;
 /// Part of the tolerance that is used as rate. The rest covers what the others do not know yet.
 constexpr double kUsedTolerance = 0.4;
 /// Part of the burst below which the pool counts as low.
 constexpr double kPoolReserve = 0.2;
-/// Part of the pool that all instances together may use between two reports.
-constexpr double kUnreportedPart = 0.7;
+/// Part of the pool that all instances together may use between two reports, and requests that each
+/// may admit in any case.
+constexpr double kUnreportedPart = 0.5;
+constexpr double kFewestUnreported = 3.0;
 /// Instances of which one may be silent, so that the pool counts as known.
 constexpr std::size_t kSilentFactor = 10;
 /// Demand below which an account is left out of the reports, in requests per second.
@@ -101,12 +103,18 @@
   return entry.rate + kUsedTolerance * tolerated / window;
 }
 
+double AccountLimiter::MostUnreported(const Entry& entry) const noexcept {
+  return std::max(kFewestUnreported,
+                  kUnreportedPart * entry.pool / static_cast<double>(reachable_ + 1));
+}
+
 bool AccountLimiter::IsOpen(const Entry& entry, TimePoint now) const {
   const bool alone = reachable_ + silent_ == 0;
   const bool known = alone || now - known_at_ <= kPoolAge;
   const bool most_report = known && silent_ * kSilentFactor <= reachable_ + 1;
   const double even = entry.burst / static_cast<double>(reachable_ + silent_ + 1);
-  return most_report && entry.pool >= kPoolReserve * std::max(1.0, entry.burst) &&
+  const bool reported = alone || entry.admitted - entry.reported.admitted < MostUnreported(entry);
+  return most_report && reported && entry.pool >= kPoolReserve * std::max(1.0, entry.burst) &&
          entry.bucket.tokens() > -std::max(kSmallestDebt, even);
 }
 
@@ -122,9 +130,7 @@
     entry.pool -= 1;
     ++entry.admitted;
     const double unreported = entry.admitted - entry.reported.admitted;
-    const auto instances = static_cast<double>(reachable_ + 1);
-    report_is_urgent_ =
-        report_is_urgent_ || unreported * instances > kUnreportedPart * entry.pool;
+    report_is_urgent_ = report_is_urgent_ || 2 * unreported >= MostUnreported(entry);
     return {};
   }
   const double missing = 1 - entry.bucket.tokens();
--- a/tests/fleet/unit-limits.cpp
+++ b/tests/fleet/unit-limits.cpp
@@ -91,6 +91,8 @@
       {"a sudden load everywhere, rare reports", 79, 30, 25, 79, 50, 7.5},
       {"a sudden load, rare reports", 79, 30, 25, 12, 50, 7.5},
       {"a sudden load of a large account, rare reports", 79, 300, 250, 79, 50, 7.5},
+      {"a sudden load of a very large account, rare reports", 74, 560, 500, 74, 50, 7.5},
+      {"a very large account just below its rate, rare reports", 74, 560, 500, 74, 50},
       {"a sudden load of a small account", 79, 5, 4, 5, 50, 7.5},
   }));
   const auto seed = GENERATE(range(1, 6));
--- /dev/null
+++ b/tools/soak/faults.h
@@ -0,0 +1,73 @@
+#pragma once
+
+/// @file
+/// Random faults on a deployment, in overlapping series.
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dogwoodport/platform/standin/fleet_world.h"
+
+namespace dogwoodport::soak {
+
+/// Plays faults until it is told to stop.
+class Faults {
+ public:
+  Faults(net::EventLoop& loop, platform::standin::FleetWorld& world, std::uint64_t seed,
+         std::ostream& out);
+
+  /// Plays faults for `span` and then mends what is still broken.
+  void Play(Duration span);
+
+ private:
+  struct Kind {
+    const char* name;
+    void (Faults::*start)();
+  };
+  static const std::vector<Kind> kKinds;
+
+  void KillInstance();
+  void StopInstance();
+  void PauseInstance();
+  void ReloadInstance();
+  void CutStore();
+  void SilenceStoreAnswers();
+  void DelayStore();
+  void ResetStoreConnections();
+  void DisturbStore();
+  void CompactStore();
+  void CrashTarget();
+  void RebornTarget();
+  void DrainTarget();
+  void SilenceTarget();
+  void ResetTargetConnections();
+  void SlowTarget();
+  void FailingTarget();
+  void TargetThatLosesAnswers();
+  void TargetThatSpoilsAnswers();
+  void ChangeConfig();
+  void RotateSecret();
+  void WithdrawDataCentre();
+
+  std::size_t Pick(std::size_t n) {
+    return std::uniform_int_distribution<std::size_t>(0, n - 1)(random_);
+  }
+  Duration Span(int least_ms, int most_ms) {
+    return std::chrono::milliseconds(
+        std::uniform_int_distribution<int>(least_ms, most_ms)(random_));
+  }
+  /// Runs `mend` after `span`, or at the end of the play if that comes first.
+  void MendAfter(Duration span, std::function<void()> mend);
+  platform::standin::TargetFaults* FaultsOf(std::size_t target);
+
+  net::EventLoop& loop_;
+  platform::standin::FleetWorld& world_;
+  std::mt19937_64 random_;
+  std::ostream& out_;
+  std::map<int, std::function<void()>> mends_;
+  int next_mend_ = 0;
+};
+
+}  // namespace dogwoodport::soak
