Add dogwoodctl explain, and prefer near targets and open connections

explain reads log lines of several instances and prints what was decided about a request with the beliefs behind it, and the cause in a sentence.

--- a/packages/client/include/dogwoodport/client/detail/command.h
+++ b/packages/client/include/dogwoodport/client/detail/command.h
@@ -74,11 +74,14 @@
   const char* summary;
   void (*define)(cxxopts::Options&);
   void (*run)(CommandContext&);
+  /// Whether it needs the settings file, which names the log and the instances.
+  bool uses_settings = true;
 };
 
 std::span<const Command> ConfigCommands();
 std::span<const Command> ChangeCommands();
 std::span<const Command> ReadCommands();
+std::span<const Command> ExplainCommands();
 
 /// Adds the option `reason`.
 void DefineReason(cxxopts::Options& options);
--- /dev/null
+++ b/packages/client/include/dogwoodport/client/request_story.h
@@ -0,0 +1,67 @@
+#pragma once
+
+/// @file
+/// Explains what happened to one request, from the log lines of the instances.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dogwoodport {
+
+/// One decision about the request, or a change of belief that it rests on.
+struct StoryLine {
+  std::int64_t time_ms = 0;
+  std::string instance;
+  std::string event;
+  /// What was decided or believed, in words.
+  std::string text;
+  /// The belief behind a decision, with its version and age; empty for changes of belief.
+  std::string belief;
+};
+
+/// Collects log lines, in any order of the instances, and explains one request.
+class RequestStory {
+ public:
+  explicit RequestStory(std::string request_id) : request_id_(std::move(request_id)) {}
+
+  /// Takes one log line; other text is counted and passed over. Complexity: linear in its length.
+  void Add(std::string_view line);
+
+  /// Whether any line names the request.
+  bool found() const noexcept { return !decisions_.empty(); }
+  /// Lines that are no log lines.
+  std::uint64_t unreadable() const noexcept { return unreadable_; }
+  /// Lines that the instances of the request left out by their bounds.
+  std::uint64_t dropped() const;
+
+  /// The decisions in their order, each after the changes of belief that it rests on.
+  std::vector<StoryLine> Lines() const;
+  /// Why the request ended as it did, in one sentence.
+  std::string Cause() const;
+
+ private:
+  struct Entry {
+    std::int64_t time_ms = 0;
+    std::uint64_t number = 0;
+    nlohmann::json fields;
+  };
+
+  /// Changes of belief of an instance in the time before `decision` that concern it.
+  std::vector<const Entry*> BeliefsBefore(const Entry& decision) const;
+  const Entry* Last(std::string_view event) const;
+
+  std::string request_id_;
+  std::vector<Entry> decisions_;
+  /// By instance: recent changes of belief.
+  std::map<std::string, std::deque<Entry>> beliefs_;
+  std::map<std::string, std::uint64_t> dropped_;
+  std::uint64_t lines_ = 0;
+  std::uint64_t unreadable_ = 0;
+};
+
+}  // namespace dogwoodport
--- a/packages/client/src/cli.cc
+++ b/packages/client/src/cli.cc
@@ -18,8 +18,8 @@
 
 std::vector<Command> AllCommands() {
   std::vector<Command> commands;
-  for (const auto group :
-       {detail::ConfigCommands(), detail::ChangeCommands(), detail::ReadCommands()}) {
+  for (const auto group : {detail::ConfigCommands(), detail::ChangeCommands(),
+                           detail::ReadCommands(), detail::ExplainCommands()}) {
     commands.insert(commands.end(), group.begin(), group.end());
   }
   return commands;
@@ -113,7 +113,10 @@
   }
   const std::vector<std::string> arguments = Arguments(selection.command, parsed);
   const OutputFormat format = Format(parsed);
-  ClientSettings settings = LoadClientSettings(parsed["settings"].as<std::string>());
+  ClientSettings settings;
+  if (selection.command.uses_settings) {
+    settings = LoadClientSettings(parsed["settings"].as<std::string>());
+  }
   if (parsed.count("operator-secret-stdin") > 0) {
     std::getline(environment.in, settings.operator_secret);
   }
--- /dev/null
+++ b/packages/client/src/commands_explain.cc
@@ -0,0 +1,83 @@
+// The subcommand that explains a request from log lines.
+
+#include <ctime>
+#include <fstream>
+#include <istream>
+
+#include "dogwoodport/client/detail/command.h"
+#include "dogwoodport/client/request_story.h"
+
+namespace dogwoodport::detail {
+namespace {
+
+using nlohmann::ordered_json;
+
+void DefineLogs(cxxopts::Options& options) {
+  options.add_options()("log", "log file of an instance; repeat it for several (standard input)",
+                        cxxopts::value<std::vector<std::string>>(), "FILE");
+}
+
+void AddLines(RequestStory& story, std::istream& in) {
+  for (std::string line; std::getline(in, line);) {
+    if (!line.empty()) story.Add(line);
+  }
+}
+
+std::string TimeOfDay(std::int64_t time_ms) {
+  const std::time_t seconds = time_ms / 1000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 16> buf{};
+  std::strftime(buf.data(), buf.size(), "%H:%M:%S", &parts);
+  const std::string ms = std::to_string(1000 + time_ms % 1000).substr(1);
+  return std::string(buf.data()) + "." + ms;
+}
+
+void Explain(CommandContext& context) {
+  RequestStory story(context.arguments[0]);
+  if (context.options.count("log") > 0) {
+    for (const auto& path : context.options["log"].as<std::vector<std::string>>()) {
+      std::ifstream file(path);
+      if (!file) throw ClientError(ExitStatus::kUsage, "--log: cannot read " + Printable(path));
+      AddLines(story, file);
+    }
+  } else {
+    AddLines(story, context.env.in);
+  }
+  if (!story.found()) {
+    throw ClientError(ExitStatus::kFailed, "no line names the request " +
+                                               Printable(context.arguments[0]) +
+                                               "; lines of frequent kinds may have been left out");
+  }
+  ordered_json rows = ordered_json::array();
+  for (const StoryLine& it : story.Lines()) {
+    rows.push_back({{"time", TimeOfDay(it.time_ms)},
+                    {"instance", it.instance},
+                    {"event", it.event},
+                    {"what", it.text},
+                    {"belief", it.belief}});
+  }
+  if (context.format == OutputFormat::kJson) {
+    context.PrintResult({{"request_id", context.arguments[0]},
+                         {"cause", story.Cause()},
+                         {"lines_left_out", story.dropped()},
+                         {"lines_unreadable", story.unreadable()},
+                         {"story", rows}});
+    return;
+  }
+  context.PrintResult(rows);
+  context.env.out << "\n" << story.Cause() << "\n";
+  if (story.dropped() > 0) {
+    context.env.out << "The instances left out " << story.dropped() << " lines by their bounds.\n";
+  }
+}
+
+constexpr std::array<Command, 1> kCommands = {
+    {{"explain", "REQUEST-ID", "what happened to a request, from log lines", &DefineLogs, &Explain,
+      /*uses_settings=*/false}}};
+
+}  // namespace
+
+std::span<const Command> ExplainCommands() { return kCommands; }
+
+}  // namespace dogwoodport::detail
--- /dev/null
+++ b/packages/client/src/request_story.cc
@@ -0,0 +1,242 @@
+#include "dogwoodport/client/request_story.h"
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace dogwoodport {
+namespace {
+
+using nlohmann::json;
+
+/// Time before a decision in which changes of belief are shown.
+constexpr std::int64_t kBeliefSpanMs = 5'000;
+/// Changes of belief that are kept an instance.
+constexpr std::size_t kMostBeliefs = 4'096;
+
+/// An event that changes what an instance believes, and the field that ties it to a request: lines
+/// are shown if that field is equal in both, or if there is none.
+struct BeliefEvent {
+  const char* event;
+  const char* field;
+  const char* text;
+};
+
+constexpr std::array<BeliefEvent, 13> kBeliefEvents = {{
+    {"config_applied", "", "a new configuration came into force"},
+    {"data_centres_withdrawn", "", "the withdrawn data centres changed"},
+    {"account_limit_changed", "account", "the limits of the account changed"},
+    {"target_changed", "target", "what is known of the target changed"},
+    {"target_ejected", "target", "the target failed repeatedly and is left out for a while"},
+    {"store_lost", "", "the store does not answer"},
+    {"store_regained", "", "the store answers again"},
+    {"owners_changed", "", "the owners of keys changed"},
+    {"coordinator_started", "", "this instance became the coordinator"},
+    {"coordinator_stopped", "", "this instance stopped being the coordinator"},
+    {"started", "", "the instance started"},
+    {"stopping", "", "the instance was told to stop"},
+    {"settings_reloaded", "", "the settings were read again"},
+}};
+
+struct ReasonText {
+  const char* reason;
+  const char* text;
+};
+
+/// Why the router ended a request by itself.
+constexpr std::array<ReasonText, 11> kReasons = {{
+    {"no_configuration", "the instance had no configuration yet"},
+    {"unknown_route", "no route of the configuration matches its host and path"},
+    {"not_authorized", "its secret belongs to no client account"},
+    {"stale_secrets",
+     "the configuration was too old to tell whether its secret had been withdrawn"},
+    {"malformed", "it lacks a field that is needed, or one cannot be read"},
+    {"over_limit", "its client account was above its rate"},
+    {"no_target", "no usable target was known for it"},
+    {"overloaded", "all targets were full and the queue was longer than its time allowed"},
+    {"timed_out", "its target did not answer in the time that the route or the caller allows"},
+    {"target_failed", "the connection to its target broke, and it could not be sent again"},
+    {"shutting_down", "the instance was about to end"},
+}};
+
+const BeliefEvent* FindBelief(const std::string& event) {
+  const auto* const it =
+      std::find_if(kBeliefEvents.begin(), kBeliefEvents.end(),
+                   [&event](const BeliefEvent& belief) { return event == belief.event; });
+  return it == kBeliefEvents.end() ? nullptr : it;
+}
+
+std::string ReasonOf(const json& fields) {
+  const std::string reason = fields.value("reason", "");
+  const auto* const it =
+      std::find_if(kReasons.begin(), kReasons.end(),
+                   [&reason](const ReasonText& text) { return reason == text.reason; });
+  return it == kReasons.end() ? reason : it->text;
+}
+
+/// Returns "name value, name value" of the fields that are present.
+std::string Details(const json& fields, std::initializer_list<const char*> names) {
+  std::string out;
+  for (const char* const name : names) {
+    const auto it = fields.find(name);
+    if (it == fields.end()) continue;
+    if (!out.empty()) out += ", ";
+    out += std::string(name) + " " + (it->is_string() ? it->get<std::string>() : it->dump());
+  }
+  return out;
+}
+
+std::string DecisionText(const std::string& event, const json& fields) {
+  std::ostringstream out;
+  const std::string target = fields.value("target", "");
+  if (event == "refused") {
+    out << "answered " << fields.value("status", 0) << ": " << ReasonOf(fields);
+    const auto retry_ms = fields.value("retry_after_ms", std::int64_t{0});
+    if (retry_ms > 0) out << "; come back after " << retry_ms << " ms";
+  } else if (event == "attempt_failed") {
+    out << "attempt at " << target << " failed: " << fields.value("failure", "") << ", "
+        << (fields.value("may_have_run", false) ? "it may have run" : "it has not run");
+  } else if (event == "attempt_timed_out") {
+    out << "attempt at " << target << " was given up, "
+        << (fields.value("may_have_run", false) ? "it may have run" : "it has not run");
+  } else if (event == "not_run") {
+    out << "target " << target << " answered " << fields.value("status", 0)
+        << " without running it";
+  } else if (event == "served" || event == "target_error") {
+    out << "target " << target << " answered " << fields.value("status", 0);
+  } else if (event == "foreign_answer") {
+    out << "target " << target << " sent the answer of another request, which was dropped";
+  } else if (event == "abandoned") {
+    out << "the caller closed its connection";
+  } else {
+    out << event;
+  }
+  return out.str();
+}
+
+}  // namespace
+
+void RequestStory::Add(std::string_view line) {
+  ++lines_;
+  const auto begin = line.find('{');
+  json fields = begin == std::string_view::npos
+                    ? json()
+                    : json::parse(line.substr(begin), nullptr, /*allow_exceptions=*/false);
+  const bool readable = fields.is_object() && fields.contains("time_ms") &&
+                        fields["time_ms"].is_number_integer() && fields.contains("event") &&
+                        fields["event"].is_string() && fields.contains("instance") &&
+                        fields["instance"].is_string();
+  if (!readable) {
+    ++unreadable_;
+    return;
+  }
+  const auto instance = fields["instance"].get<std::string>();
+  if (const auto it = fields.find("lines_dropped"); it != fields.end() && it->is_number()) {
+    dropped_[instance] += it->get<std::uint64_t>();
+  }
+  const bool names_request = fields.contains("request_id") && fields["request_id"] == request_id_;
+  const auto event = fields["event"].get<std::string>();
+  const bool is_belief = FindBelief(event) != nullptr;
+  Entry entry{fields["time_ms"].get<std::int64_t>(), lines_, std::move(fields)};
+  if (names_request && event != "target_ejected") {
+    decisions_.push_back(std::move(entry));
+  } else if (is_belief) {
+    std::deque<Entry>& beliefs = beliefs_[instance];
+    beliefs.push_back(std::move(entry));
+    if (beliefs.size() > kMostBeliefs) beliefs.pop_front();
+  }
+}
+
+std::uint64_t RequestStory::dropped() const {
+  std::uint64_t n = 0;
+  std::vector<std::string> counted;
+  for (const Entry& it : decisions_) {
+    const auto instance = it.fields["instance"].get<std::string>();
+    if (std::find(counted.begin(), counted.end(), instance) != counted.end()) continue;
+    counted.push_back(instance);
+    const auto dropped = dropped_.find(instance);
+    if (dropped != dropped_.end()) n += dropped->second;
+  }
+  return n;
+}
+
+std::vector<const RequestStory::Entry*> RequestStory::BeliefsBefore(const Entry& decision) const {
+  std::vector<const Entry*> result;
+  const auto beliefs = beliefs_.find(decision.fields["instance"].get<std::string>());
+  if (beliefs == beliefs_.end()) return result;
+  for (const Entry& it : beliefs->second) {
+    if (it.time_ms > decision.time_ms || it.time_ms < decision.time_ms - kBeliefSpanMs) continue;
+    const BeliefEvent* const belief = FindBelief(it.fields["event"].get<std::string>());
+    const std::string field = belief->field;
+    const bool concerns =
+        field.empty() || (decision.fields.contains(field) &&
+                          it.fields.value(field, json()) == decision.fields.value(field, json()));
+    if (concerns) result.push_back(&it);
+  }
+  return result;
+}
+
+std::vector<StoryLine> RequestStory::Lines() const {
+  std::vector<const Entry*> decisions;
+  for (const Entry& it : decisions_) decisions.push_back(&it);
+  const auto before = [](const Entry* a, const Entry* b) {
+    return std::pair(a->time_ms, a->number) < std::pair(b->time_ms, b->number);
+  };
+  std::sort(decisions.begin(), decisions.end(), before);
+  std::vector<const Entry*> shown;
+  std::vector<StoryLine> lines;
+  const auto add = [&lines](const Entry& it, std::string text, std::string belief) {
+    lines.push_back({it.time_ms, it.fields["instance"].get<std::string>(),
+                     it.fields["event"].get<std::string>(), std::move(text), std::move(belief)});
+  };
+  for (const Entry* const decision : decisions) {
+    for (const Entry* const it : BeliefsBefore(*decision)) {
+      if (std::find(shown.begin(), shown.end(), it) != shown.end()) continue;
+      shown.push_back(it);
+      const std::string details =
+          Details(it->fields, {"target", "change", "account", "from", "to", "rate_per_s", "burst",
+                               "data_centres", "feed", "reason", "generation", "revision"});
+      std::string text = FindBelief(it->fields["event"].get<std::string>())->text;
+      if (!details.empty()) text += " (" + details + ")";
+      add(*it, std::move(text), "");
+    }
+    add(*decision, DecisionText(decision->fields["event"].get<std::string>(), decision->fields),
+        Details(decision->fields, {"age_ms", "sends", "route", "service", "account", "target",
+                                   "config_version", "config_age_ms"}));
+  }
+  return lines;
+}
+
+const RequestStory::Entry* RequestStory::Last(std::string_view event) const {
+  const Entry* last = nullptr;
+  for (const Entry& it : decisions_) {
+    if (it.fields["event"] == event && (last == nullptr || it.time_ms >= last->time_ms)) last = &it;
+  }
+  return last;
+}
+
+std::string RequestStory::Cause() const {
+  if (const Entry* const refused = Last("refused")) {
+    std::string cause = "It was answered " + std::to_string(refused->fields.value("status", 0)) +
+                        " because " + ReasonOf(refused->fields) + ".";
+    const bool sent = refused->fields.value("sends", 0) > 0;
+    if (!sent) return cause + " No target has seen it.";
+    const Entry* attempt = Last("attempt_failed");
+    if (attempt == nullptr) attempt = Last("attempt_timed_out");
+    if (attempt == nullptr) attempt = Last("not_run");
+    if (attempt != nullptr) {
+      cause += " Before that, the " +
+               DecisionText(attempt->fields["event"].get<std::string>(), attempt->fields) + ".";
+    }
+    return cause;
+  }
+  if (const Entry* const error = Last("target_error")) {
+    return "Its target " + error->fields.value("target", "") + " answered " +
+           std::to_string(error->fields.value("status", 0)) + ".";
+  }
+  if (Last("served") != nullptr) return "It was served.";
+  if (Last("abandoned") != nullptr) return "Its caller left before there was an answer.";
+  return "The lines do not show how it ended; it may still be open, or the line was left out.";
+}
+
+}  // namespace dogwoodport
--- a/packages/fleet/include/dogwoodport/fleet/routing/target_selector.h
+++ b/packages/fleet/include/dogwoodport/fleet/routing/target_selector.h
@@ -31,9 +31,9 @@
 /// Weights of the choice.
 struct SelectorSettings {
   /// Cost of a request that leaves the data centre: the round trip, and its price in bytes.
-  Duration distance_cost{8'000};
+  Duration distance_cost{20'000};
   /// Cost of a new connection: a round trip, the work of the target, and its price.
-  Duration connection_cost{15'000};
+  Duration connection_cost{25'000};
   /// Requests beyond its slots that a target is given; it queues them for a short time.
   double overcommit = 0;
 };
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -168,11 +168,14 @@
 }
 
 void PeerExchange::ScheduleLoad() {
-  load_timer_ =
-      loop_.RunAfter(Interval(settings_.load_interval, settings_.most_loads_per_s), [this] {
-        SendLoad();
-        ScheduleLoad();
-      });
+  const std::size_t receivers = std::min(peers_.size(), settings_.most_neighbours);
+  const Duration interval =
+      std::max(settings_.load_interval,
+               FromSeconds(static_cast<double>(receivers) / settings_.most_loads_per_s));
+  load_timer_ = loop_.RunAfter(interval, [this] {
+    SendLoad();
+    ScheduleLoad();
+  });
 }
 
 void PeerExchange::SendLoad() {
