--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -106,10 +106,6 @@
   CoordinatorPorts MakePorts();
   BucketRates KeyLoad(const std::string& service);
   double CapacityOf(const Target& target) const;
-  /// Usual milliseconds of a request by hash of the target, for targets that own keys.
-  std::vector<std::pair<std::uint32_t, float>> OwnersLatencies() const;
-  /// Averages what the instances report of the owners' latencies.
-  void UpdateLatencies();
 
   void Tick();
   void CheckCoordinator();
@@ -150,8 +146,6 @@
   TimePoint maintain_at_{};
   TimePoint instances_at_{};
   TimePoint table_read_at_{};
-  /// Usual time of a request by hash of the target, over all instances.
-  std::unordered_map<std::uint32_t, Duration> latencies_;
   bool reading_table_ = false;
   /// A change of the table did not fit the one that this instance has.
   bool wants_table_ = false;
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -168,7 +168,6 @@
   for (auto& [service, rates] : view_.key_load.Busiest(now, settings_.reported_buckets)) {
     report.key_load.emplace_back(HashOf(service), std::move(rates));
   }
-  report.latencies = OwnersLatencies();
 }
 
 void Instance::PrepareDigest(PeerDigest& digest) {
@@ -229,9 +228,10 @@
 void Instance::RefreshShares() {
   const TimePoint now = loop_.now();
   shares_at_ = now + kSharesInterval;
-  const auto reachable = static_cast<std::size_t>(std::count_if(
-      peers_.peers().begin(), peers_.peers().end(),
-      [this](const auto& it) { return peers_.Reachable(it.second) && !it.second.report.leaving; }));
+  const auto reachable = static_cast<std::size_t>(
+      std::count_if(peers_.peers().begin(), peers_.peers().end(), [this](const auto& it) {
+        return peers_.Reachable(it.second) && !it.second.report.leaving;
+      }));
   const std::size_t known = peers_.peers().size();
   view_.accounts.SetInstances(reachable, known - std::min(known, reachable));
   view_.instances = known + 1;
@@ -240,7 +240,6 @@
     if (!peers_.Reachable(peer)) accounts_.SetSilent(address);
   }
   accounts_.UpdateDemand(now, peers_.IsLarge() && !coordinator_.leading());
-  if (coordinator_.leading()) UpdateLatencies();
   // All known instances, silent ones too, so that instances with different views of who is
   // reachable, as after a common restart, still choose the same senders.
   const std::vector<std::string> others = peers_.KnownAddresses();
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -9,7 +9,6 @@
 namespace dogwoodport::fleet {
 
 using detail::HashOf;
-using detail::ShortHashOf;
 
 namespace {
 
@@ -24,8 +23,6 @@
 constexpr Duration kTakeOverStep{150'000};
 /// Time for which a new coordinator is left alone by the one that it replaced.
 constexpr Duration kAfterStepDown{4'000'000};
-/// Time of a request at a target of which nothing is known.
-constexpr Duration kUnknownLatency{100'000};
 /// Age of its knowledge of the store from which on a coordinator counts as cut off, and the age
 /// below which another instance may replace it.
 constexpr std::uint32_t kLostStoreMs = 3'500;
@@ -50,8 +47,8 @@
   // A report may cross a change on its way; one that is still behind what was current at the time
   // of the report before has lost it.
   const auto [it, is_new] = behind_.try_emplace(report.address, view_.keys.revision);
-  const bool lost =
-      !same_generation || report.wants_table || (!is_new && report.revision < it->second);
+  const bool lost = !same_generation || report.wants_table ||
+                    (!is_new && report.revision < it->second);
   if (!is_new) it->second = view_.keys.revision;
   if (lost) peers_.SendTable(Encode(view_.keys), report.address);
 }
@@ -178,44 +175,9 @@
 }
 
 double Instance::CapacityOf(const Target& target) const {
-  const auto own = latencies_.find(ShortHashOf(target.entry.id));
-  const Duration usual =
-      own != latencies_.end() ? own->second : forwarder_.UsualLatency(target.entry.service);
-  return target.entry.slots / Seconds(usual > Duration{0} ? usual : kUnknownLatency);
-}
-
-std::vector<std::pair<std::uint32_t, float>> Instance::OwnersLatencies() const {
-  std::vector<std::pair<std::uint32_t, float>> result;
-  for (const auto& [id, target] : view_.directory.targets()) {
-    const auto health = view_.health.find(id);
-    if (health == view_.health.end() || health->second.latency() == Duration{0}) continue;
-    const Service* const service =
-        view_.config ? view_.config->FindService(target.entry.service) : nullptr;
-    if (service == nullptr || !service->keyed) continue;
-    const double ms = Seconds(health->second.latency()) * 1000;
-    result.emplace_back(ShortHashOf(id), static_cast<float>(ms));
-  }
-  return result;
-}
-
-void Instance::UpdateLatencies() {
-  struct Sum {
-    double ms = 0;
-    int n = 0;
-  };
-  std::unordered_map<std::uint32_t, Sum> sums;
-  const auto add = [&sums](const std::vector<std::pair<std::uint32_t, float>>& latencies) {
-    for (const auto& [target, ms] : latencies) {
-      sums[target].ms += ms;
-      ++sums[target].n;
-    }
-  };
-  add(OwnersLatencies());
-  for (const auto& [address, peer] : peers_.peers()) {
-    if (peers_.Reachable(peer)) add(peer.report.latencies);
-  }
-  latencies_.clear();
-  for (const auto& [target, sum] : sums) latencies_[target] = FromSeconds(sum.ms / sum.n / 1000);
+  const Duration usual = forwarder_.UsualLatency(target.entry.service);
+  const double latency = usual > Duration{0} ? Seconds(usual) : 0.1;
+  return target.entry.slots / latency;
 }
 
 void Instance::CheckCoordinator() {
@@ -230,12 +192,13 @@
     const PeerReport& report = peer.report;
     // A coordinator that has lost the store is replaced by an instance that reaches it.
     const bool cut_off = report.store_age_ms > kLostStoreMs && own_store_age < kReachedStore;
-    if (report.leading && !report.leaving && !cut_off && now - peer.heard_at <= silence) {
+    if (report.leading && !report.leaving && !cut_off &&
+        now - peer.heard_at <= silence) {
       has_coordinator = true;
     }
-    const bool better =
-        std::pair(-report.processor_share, address) <
-        std::pair(-static_cast<float>(settings_.processor_share), settings_.peer_address);
+    const bool better = std::pair(-report.processor_share, address) <
+                        std::pair(-static_cast<float>(settings_.processor_share),
+                                  settings_.peer_address);
     if (!report.leaving && better) ++rank;
   }
   if (has_coordinator) {
