--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export CCACHE_NOHASHDIR = 1
 export CCACHE_BASEDIR = $(CURDIR)
 
-.PHONY: setup build run check format-check layers lint test measure model replay sanitize format
+.PHONY: setup build run check format-check layers lint test measure model replay sanitize format soak soak-check
 
 setup:
 	@scripts/install_packages.sh
@@ -20,7 +20,7 @@
 run: build
 	scripts/run_demo.sh $(BUILD)
 
-check: setup format-check build layers lint test replay model
+check: setup format-check build layers lint test replay model soak-check
 
 format:
 	scripts/sources.sh | xargs clang-format -i
@@ -46,5 +46,15 @@
 measure: build
 	scripts/run_measure.sh $(BUILD)
 
+# One seed of the fault soak; `make soak SEED=7 RUNS=50` plays more. Logs of runs that fail are kept.
+SEED ?= 1
+RUNS ?= 1
+soak: build
+	$(BUILD)/tools/soak --seed $(SEED) --runs $(RUNS) --logs $(BUILD)/soak
+
+# Short runs of seeds that have failed before, see tests/soak-seeds.txt.
+soak-check: build
+	scripts/run_soak.sh $(BUILD)
+
 sanitize: setup
 	scripts/run_sanitizers.sh $(JOBS)
--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -68,6 +68,9 @@
   /// Runs until `Stop` has been called and the requests have ended.
   void Run();
 
+  /// Brings new bounds into force; addresses stay as they are.
+  void Reconfigure(const InstanceSettings& settings);
+
   /// Begins the shutdown; may be called from a signal handler through `stop_requested`.
   void Stop();
 
--- a/packages/fleet/include/dogwoodport/fleet/json_lines_log.h
+++ b/packages/fleet/include/dogwoodport/fleet/json_lines_log.h
@@ -31,6 +31,9 @@
   void Write(LogLevel level, std::string_view event, const nlohmann::json& fields) override;
   bool Wants(LogLevel level) override;
 
+  /// Bounds the lines of one level; a second's worth may come at once.
+  void SetLinesPerSecond(LogLevel level, double lines);
+
   /// Hands buffered lines to the operating system, as far as it takes them.
   void Flush();
   std::uint64_t dropped() const noexcept { return dropped_total_; }
--- a/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
@@ -46,6 +46,8 @@
  public:
   explicit AccountLimiter(AccountTolerance tolerance = {}) : tolerance_(tolerance) {}
 
+  void SetTolerance(AccountTolerance tolerance) noexcept { tolerance_ = tolerance; }
+
   /// Sets the limits of one account; a rate of 0 means no limit. Returns whether they changed.
   bool Configure(const std::string& account, double rate, double burst);
   /// Forgets accounts that are not in `names`.
--- a/packages/fleet/include/dogwoodport/fleet/limits/retry_budget.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/retry_budget.h
@@ -25,6 +25,7 @@
  public:
   explicit RetryBudget(RetryBound bound) : bound_(bound) {}
 
+  void SetBound(RetryBound bound) noexcept { bound_ = bound; }
   /// Sets the number of instances that share the bound.
   void SetInstances(std::size_t instances) noexcept {
     instances_ = std::max<std::size_t>(1, instances);
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -46,9 +46,9 @@
   /// Busiest keys by service; sent to the coordinator only.
   std::vector<std::pair<std::uint64_t, std::vector<BucketRate>>> key_load;
 
-  MSGPACK_DEFINE_ARRAY(address, incarnation, number, stamp_us, data_centre, processor_share, leading,
-                       leaving, store_age_ms, generation, revision, wants_table, urgent, accounts,
-                       key_load)
+  MSGPACK_DEFINE_ARRAY(address, incarnation, number, stamp_us, data_centre, processor_share,
+                       leading, leaving, store_age_ms, generation, revision, wants_table, urgent,
+                       accounts, key_load)
 };
 
 /// Requests that an instance has in flight, by hash of the target. Sent more often than reports,
--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_planner.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_planner.h
@@ -28,8 +28,8 @@
 struct PlannerSettings {
   /// Load over the mean load, relative to capacity, above which a target gives keys away.
   double tolerated_imbalance = 1.25;
-  /// Averaging time of the rates in seconds. A load counts as too high only if it is so by more than
-  /// the usual deviation of a count over this time.
+  /// Averaging time of the rates in seconds. A load counts as too high only if it is so by more
+  /// than the usual deviation of a count over this time.
   double rate_window = 2.0;
   /// Requests per second of a target below which imbalance is of no consequence, as a share of its
   /// capacity.
--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -11,6 +11,7 @@
 #include "dogwoodport/fleet/event_log.h"
 #include "dogwoodport/fleet/overload/waiting_queue.h"
 #include "dogwoodport/fleet/requests/fleet_view.h"
+#include "dogwoodport/fleet/requests/request_metrics.h"
 #include "dogwoodport/fleet/target_protocol.h"
 #include "dogwoodport/net/connection_pool.h"
 #include "dogwoodport/net/http_server.h"
@@ -78,10 +79,13 @@
   /// The process is about to stop: attempts that are under way are not replaced any more.
   void SetStopping() noexcept { stopping_ = true; }
 
+  void SetLongestSecretAge(Duration age) noexcept { settings_.longest_secret_age = age; }
+
   /// Refuses all requests from now on, because the process may end before their answers.
   void Close() noexcept { closed_ = true; }
 
   const ForwarderCounters& counters() const noexcept { return counters_; }
+  const RequestMetrics& metrics() const noexcept { return metrics_; }
   std::size_t waiting() const;
   std::uint64_t connections_opened() const noexcept { return pool_.opened(); }
   /// Usual time of a request at a service; zero if none was served yet.
@@ -125,6 +129,7 @@
   void Refuse(Request& request, int status, Refusal refusal, Duration retry_after);
   void Finish(Request& request, net::HttpResponse response, const char* outcome);
   void OfferService(const std::string& service);
+  void CountEnd(const Request& request, const char* outcome);
   void LogRequest(LogLevel level, const char* event, const Request& request, nlohmann::json fields);
   TimePoint now() const noexcept { return loop_.now(); }
   double Random() { return std::uniform_real_distribution<double>()(random_); }
@@ -140,6 +145,7 @@
   /// Longest time that callers of a route have been willing to wait: that of a first try.
   std::unordered_map<std::string, Duration> longest_patience_;
   ForwarderCounters counters_;
+  RequestMetrics metrics_;
   bool offering_ = false;
   bool stopping_ = false;
   bool closed_ = false;
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -130,6 +130,17 @@
   log_.Flush();
 }
 
+void Instance::Reconfigure(const InstanceSettings& settings) {
+  settings_.retry_bound = settings.retry_bound;
+  settings_.account_tolerance = settings.account_tolerance;
+  settings_.cold_factor = settings.cold_factor;
+  settings_.cold_extra = settings.cold_extra;
+  settings_.shutdown_grace = settings.shutdown_grace;
+  view_.retry_budget.SetBound(settings.retry_bound);
+  view_.accounts.SetTolerance(settings.account_tolerance);
+  forwarder_.SetLongestSecretAge(settings.forwarder.longest_secret_age);
+}
+
 void Instance::Stop() {
   if (stopping_) return;
   stopping_ = true;
@@ -228,10 +239,9 @@
 void Instance::RefreshShares() {
   const TimePoint now = loop_.now();
   shares_at_ = now + kSharesInterval;
-  const auto reachable = static_cast<std::size_t>(
-      std::count_if(peers_.peers().begin(), peers_.peers().end(), [this](const auto& it) {
-        return peers_.Reachable(it.second) && !it.second.report.leaving;
-      }));
+  const auto reachable = static_cast<std::size_t>(std::count_if(
+      peers_.peers().begin(), peers_.peers().end(),
+      [this](const auto& it) { return peers_.Reachable(it.second) && !it.second.report.leaving; }));
   const std::size_t known = peers_.peers().size();
   view_.accounts.SetInstances(reachable, known - std::min(known, reachable));
   view_.instances = known + 1;
@@ -323,7 +333,7 @@
   line("config_age_ms",
        static_cast<std::uint64_t>((loop_.now() - view_.config_verified_at).count() / 1000));
   line("owners_generation", view_.keys.generation);
-  return out;
+  return out + forwarder_.metrics().Text();
 }
 
 }  // namespace dogwoodport::fleet
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -47,8 +47,8 @@
   // A report may cross a change on its way; one that is still behind what was current at the time
   // of the report before has lost it.
   const auto [it, is_new] = behind_.try_emplace(report.address, view_.keys.revision);
-  const bool lost = !same_generation || report.wants_table ||
-                    (!is_new && report.revision < it->second);
+  const bool lost =
+      !same_generation || report.wants_table || (!is_new && report.revision < it->second);
   if (!is_new) it->second = view_.keys.revision;
   if (lost) peers_.SendTable(Encode(view_.keys), report.address);
 }
@@ -192,13 +192,12 @@
     const PeerReport& report = peer.report;
     // A coordinator that has lost the store is replaced by an instance that reaches it.
     const bool cut_off = report.store_age_ms > kLostStoreMs && own_store_age < kReachedStore;
-    if (report.leading && !report.leaving && !cut_off &&
-        now - peer.heard_at <= silence) {
+    if (report.leading && !report.leaving && !cut_off && now - peer.heard_at <= silence) {
       has_coordinator = true;
     }
-    const bool better = std::pair(-report.processor_share, address) <
-                        std::pair(-static_cast<float>(settings_.processor_share),
-                                  settings_.peer_address);
+    const bool better =
+        std::pair(-report.processor_share, address) <
+        std::pair(-static_cast<float>(settings_.processor_share), settings_.peer_address);
     if (!report.leaving && better) ++rank;
   }
   if (has_coordinator) {
--- a/packages/fleet/src/json_lines_log.cc
+++ b/packages/fleet/src/json_lines_log.cc
@@ -19,12 +19,17 @@
 JsonLinesLog::JsonLinesLog(int fd, LogSettings settings) : fd_(fd), settings_(std::move(settings)) {
   fcntl(fd_, F_SETFL, fcntl(fd_, F_GETFL) | O_NONBLOCK);
   for (std::size_t i = 0; i < buckets_.size(); ++i) {
-    const double burst = std::max(1.0, settings_.lines_per_s[i] * kBurstSeconds);
-    buckets_[i].Configure(settings_.lines_per_s[i], burst);
-    buckets_[i].Add(burst);
+    SetLinesPerSecond(static_cast<LogLevel>(i), settings_.lines_per_s[i]);
   }
 }
 
+void JsonLinesLog::SetLinesPerSecond(LogLevel level, double lines) {
+  TokenBucket& bucket = buckets_[static_cast<std::size_t>(level)];
+  const double burst = std::max(1.0, lines * kBurstSeconds);
+  bucket.Configure(lines, burst);
+  bucket.Add(burst);
+}
+
 TokenBucket& JsonLinesLog::BucketOf(LogLevel level) {
   TokenBucket& bucket = buckets_[static_cast<std::size_t>(level)];
   bucket.Update(net::BootTime());
--- a/packages/fleet/src/limits/account_exchange.cc
+++ b/packages/fleet/src/limits/account_exchange.cc
@@ -20,14 +20,13 @@
 std::vector<AccountReport> AccountExchange::MakeReport(TimePoint now) {
   std::vector<AccountReport> result;
   for (const AccountUse& it : limiter_.Report(now)) {
-    result.push_back(
-        {detail::HashOf(it.account), static_cast<float>(it.demand), it.admitted});
+    result.push_back({detail::HashOf(it.account), static_cast<float>(it.demand), it.admitted});
   }
   return result;
 }
 
-void AccountExchange::OnReport(const ReportSender& sender,
-                               const std::vector<AccountReport>& report, TimePoint now) {
+void AccountExchange::OnReport(const ReportSender& sender, const std::vector<AccountReport>& report,
+                               TimePoint now) {
   Sender& known = senders_[sender.first];
   const bool is_new = now - known.reported_at > kLongestGap;
   known.reported_at = now;
@@ -94,8 +93,8 @@
     if (follows || !is_new) {
       const std::int64_t total = std::int64_t{it.admitted} - last->second.admitted;
       const std::int64_t own_part = std::int64_t{own} - last->second.own_admitted;
-      limiter_.OnOthersAdmitted(name->second,
-                                static_cast<double>(std::max<std::int64_t>(0, total - own_part)), now);
+      limiter_.OnOthersAdmitted(
+          name->second, static_cast<double>(std::max<std::int64_t>(0, total - own_part)), now);
     }
     last->second = {it.demand, it.admitted, own};
   }
--- a/packages/fleet/src/ownership/key_coordinator.cc
+++ b/packages/fleet/src/ownership/key_coordinator.cc
@@ -203,9 +203,8 @@
     } else if (settled) {
       const KeyRanges before = ranges;
       ReplaceLostDestinations(service, ranges, candidates);
-      ranges = PlanKeys(
-          ranges, candidates, ports_.load(service), settings_.planner,
-          [&](const KeyRange& it) { return MayHaveTwoHolders(service, it); });
+      ranges = PlanKeys(ranges, candidates, ports_.load(service), settings_.planner,
+                        [&](const KeyRange& it) { return MayHaveTwoHolders(service, it); });
       changed = changed || ranges != before;
     }
   }
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -500,6 +500,7 @@
   request.unlink();
   const net::ClientConnectionPtr connection = request.connection;
   LogRequest(LogLevel::kInfo, "abandoned", request, {});
+  CountEnd(request, "abandoned");
   if (connection) {
     EndAttempt(request, SendResult::kCancelled);
     connection->Abort();
@@ -516,6 +517,7 @@
               {"reason", NameOf(refusal)},
               {"retry_after_ms", retry_after.count() / 1000},
               {"config_age_ms", (now() - view_.config_verified_at).count() / 1000}});
+  CountEnd(request, NameOf(refusal));
   const bool retry_helps = status == 503 || status == 429;
   Finish(request,
          protocol_.MakeAnswer(status, NameOf(refusal), request.may_have_run,
@@ -530,11 +532,17 @@
   loop_.Cancel(request.timer);
   if (outcome != nullptr) {
     ++counters_.answered;
+    CountEnd(request, outcome);
     LogRequest(LogLevel::kDebug, outcome, request, {{"status", response.status}});
   }
   request.exchange->Respond(std::move(response));
 }
 
+void Forwarder::CountEnd(const Request& request, const char* outcome) {
+  metrics_.Count(request.service == nullptr ? std::string_view() : request.service->name, outcome,
+                 now() - request.exchange->received_at());
+}
+
 void Forwarder::LogRequest(LogLevel level, const char* event, const Request& request,
                            nlohmann::json fields) {
   if (!log_.Wants(level)) return;
--- a/tests/fleet/unit-limits.cpp
+++ b/tests/fleet/unit-limits.cpp
@@ -165,7 +165,11 @@
   /// Admits `n` requests.
   int Use(int n, TimePoint now) {
     int admitted = 0;
-    for (int i = 0; i < n; ++i) admitted += limiter.Admit("a", now).admitted ? 1 : 0;
+    for (int i = 0; i < n; ++i) {
+      admitted += limiter.Admit("a", now).admitted ? 1 : 0;
+      // What is admitted before a report is bounded.
+      exchange.MakeReport(now);
+    }
     return admitted;
   }
 
--- a/tests/platform/unit-records.cpp
+++ b/tests/platform/unit-records.cpp
@@ -1,8 +1,11 @@
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 
 #include "dogwoodport/platform/settings.h"
 #include "dogwoodport/platform/store_client.h"
 #include "dogwoodport/platform/wire_protocol.h"
+#include "dogwoodport/standin/process.h"
 
 namespace dogwoodport::platform {
 namespace {
@@ -160,5 +163,35 @@
   CHECK_THROWS_WITH(ParseSettings(text, "f"), Catch::Contains(it.named));
 }
 
+TEST_CASE("a settings file that changes is read again", "[records]") {
+  const standin::TemporaryDirectory directory;
+  const std::string path = directory / "settings.json";
+  const auto write = [&path](const std::string& text) { std::ofstream(path) << text; };
+  write(kSettings);
+  SettingsFile file(path);
+  CHECK_FALSE(file.Refresh().has_value());
+  auto document = nlohmann::json::parse(kSettings);
+  document["bounds"]["retry_ratio"] = 0.07;
+  document["callers"] = "10.1.0.30:1";
+  write(document.dump());
+  const auto reload = file.Refresh();
+  REQUIRE(reload.has_value());
+  CHECK(reload->settings.bounds.retry_ratio == 0.07);
+  CHECK(reload->changed == std::vector<std::string>{"/bounds/retry_ratio", "/callers"});
+  CHECK(reload->at_next_start == std::vector<std::string>{"/callers"});
+  SECTION("one that cannot be used is reported once") {
+    write("{");
+    CHECK_THROWS_WITH(file.Refresh(), Catch::Contains("is not JSON"));
+    CHECK_FALSE(file.Refresh().has_value());
+    CHECK(file.settings().bounds.retry_ratio == 0.07);
+    write(kSettings);
+    CHECK(file.Refresh().has_value());
+  }
+  SECTION("one that is gone is reported") {
+    std::filesystem::remove(path);
+    CHECK_THROWS_WITH(file.Refresh(), Catch::Contains("cannot be read"));
+  }
+}
+
 }  // namespace
 }  // namespace dogwoodport::platform
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -64,10 +64,10 @@
   std::cout << "seed " << options.seed << "\n";
   net::EventLoop loop;
   options.world.seed = options.seed;
+  options.world.bounded_rate = kBoundedRate;
   FleetWorld world(loop, options.world);
   std::vector<std::string> failures;
   if (!world.RunUntilReady(kReadyLimit)) failures.push_back("the instances did not become ready");
-  world.BoundAccount(kBoundedRate);
   world.StartCallers();
   std::ostringstream history;
   Faults faults(loop, world, options.seed, history);
