--- a/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
@@ -56,11 +56,16 @@
 
   const Target* Find(const std::string& id) const;
   const std::map<std::string, Target>& targets() const noexcept { return targets_; }
+  /// Targets of a service by id. Complexity: logarithmic in the services.
+  const std::map<std::string, const Target*>& OfService(const std::string& service) const;
   /// Grows with each change other than kNone.
   std::uint64_t version() const noexcept { return version_; }
 
  private:
+  void Erase(std::map<std::string, Target>::iterator it);
+
   std::map<std::string, Target> targets_;
+  std::map<std::string, std::map<std::string, const Target*>> by_service_;
   std::uint64_t version_ = 1;
 };
 
--- a/packages/fleet/src/membership/target_directory.cc
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -44,8 +44,12 @@
     target.doubtful_until.reset();
     if (change == TargetChange::kNone) change = TargetChange::kChanged;
   }
+  if (!joined && target.entry.service != entry.service) {
+    by_service_[target.entry.service].erase(entry.id);
+  }
   target.entry = entry;
   target.heard_at = now;
+  by_service_[entry.service][entry.id] = &target;
   if (change != TargetChange::kNone) ++version_;
   return change;
 }
@@ -59,16 +63,21 @@
     if (!it->second.doubtful_until) it->second.doubtful_until = now + grace;
     return TargetChange::kDoubtful;
   }
-  targets_.erase(it);
+  Erase(it);
   return TargetChange::kGone;
 }
 
+void TargetDirectory::Erase(std::map<std::string, Target>::iterator it) {
+  by_service_[it->second.entry.service].erase(it->first);
+  targets_.erase(it);
+}
+
 std::vector<std::string> TargetDirectory::Expire(TimePoint now) {
   std::vector<std::string> gone;
   for (auto it = targets_.begin(); it != targets_.end();) {
     if (it->second.doubtful_until && *it->second.doubtful_until <= now) {
       gone.push_back(it->first);
-      it = targets_.erase(it);
+      Erase(it++);
       ++version_;
     } else {
       ++it;
@@ -77,6 +86,13 @@
   return gone;
 }
 
+const std::map<std::string, const Target*>& TargetDirectory::OfService(
+    const std::string& service) const {
+  static const std::map<std::string, const Target*> kNone;
+  const auto it = by_service_.find(service);
+  return it == by_service_.end() ? kNone : it->second;
+}
+
 const Target* TargetDirectory::Find(const std::string& id) const {
   const auto it = targets_.find(id);
   return it == targets_.end() ? nullptr : &it->second;
--- a/packages/fleet/src/ownership/key_coordinator.cc
+++ b/packages/fleet/src/ownership/key_coordinator.cc
@@ -177,8 +177,9 @@
 
 std::vector<OwnerCandidate> KeyCoordinator::Candidates(const std::string& service) const {
   std::vector<OwnerCandidate> result;
-  for (const auto& [id, target] : ports_.directory->targets()) {
-    if (target.entry.service != service || !ports_.may_own(target)) continue;
+  for (const auto& [id, entry] : ports_.directory->OfService(service)) {
+    const Target& target = *entry;
+    if (!ports_.may_own(target)) continue;
     result.push_back(
         {id, target.entry.incarnation, ports_.capacity(target), ports_.may_grow(target)});
   }
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "forwarder_request.h"
+
 namespace dogwoodport::fleet {
 namespace {
 
@@ -15,8 +17,6 @@
 constexpr Duration kDefaultRetry{300'000};
 /// Time to come back to another instance after one that shuts down.
 constexpr Duration kShutDownRetry{50'000};
-/// Time of a request at a service that has not served any yet.
-constexpr Duration kUnknownLatency{100'000};
 /// Weight of the newest sample in the usual time of a service.
 constexpr double kLatencyWeight = 0.05;
 /// A request waits for a target as long as this many usual times are left of its objective; most
@@ -45,60 +45,6 @@
   return kRefusalNames[static_cast<std::size_t>(refusal)];
 }
 
-/// One request of a caller.
-class Forwarder::Request : public Waiter,
-                           public net::CallHandler,
-                           public boost::intrusive_ref_counter<Request> {
- public:
-  Request(Forwarder& forwarder, net::ExchangePtr call)
-      : owner(forwarder), exchange(std::move(call)) {}
-
-  void OnResponse(net::HttpResponse response) override {
-    const RequestPtr keep(this);
-    owner.OnAnswer(*this, std::move(response));
-  }
-  void OnFailure(net::CallFailure failure) override {
-    const RequestPtr keep(this);
-    owner.OnBroken(*this, failure);
-  }
-  bool Accepts(const net::HttpResponse& response) override {
-    const AnswerFields answer = owner.protocol_.ReadAnswer(response);
-    if (answer.request_id == caller.request_id) return true;
-    owner.LogRequest(LogLevel::kWarning, "foreign_answer", *this,
-                     {{"status", response.status}, {"answer_id", answer.request_id}});
-    return false;
-  }
-
-  bool idempotent() const noexcept { return route->kind == RequestKind::kIdempotent; }
-  bool Tried(const std::string& id) const {
-    return std::find(tried.begin(), tried.end(), id) != tried.end();
-  }
-
-  Forwarder& owner;
-  net::ExchangePtr exchange;
-  CallerFields caller;
-  RoutingConfigPtr config;
-  const Route* route = nullptr;
-  std::string account;
-  const Service* service = nullptr;
-  /// The final answer is due at this time.
-  TimePoint due_at{};
-  TimePoint objective_at{};
-  /// Targets that the request was sent to.
-  std::vector<std::string> tried;
-  int sends = 0;
-  /// Whether a target may have run the request, or may do so later.
-  bool may_have_run = false;
-  /// After an owner denied that it holds the key: no send until the owners change or this time.
-  TimePoint hold_back_until{};
-  std::uint64_t denied_revision = 0;
-  std::string target_id;
-  net::ClientConnectionPtr connection;
-  TimePoint sent_at{};
-  net::TimerId timer;
-  bool ended = false;
-};
-
 Forwarder::Forwarder(net::EventLoop& loop, FleetView& view, const TargetProtocol& protocol,
                      EventLog& log, ForwarderSettings settings, std::uint64_t seed)
     : loop_(loop),
@@ -259,81 +205,6 @@
   });
 }
 
-Forwarder::Placement Forwarder::TrySend(Request& request) {
-  const Target* target = nullptr;
-  const Placement placement = Place(request, target);
-  if (placement == Placement::kFound) Send(request, *target);
-  return placement;
-}
-
-Forwarder::Placement Forwarder::Place(const Request& request, const Target*& target) {
-  return request.service->keyed ? PlaceAtOwner(request, target) : PlaceAtAny(request, target);
-}
-
-Forwarder::Placement Forwarder::PlaceAtOwner(const Request& request, const Target*& target) {
-  const KeyRange* const range = view_.keys.Find(request.service->name, *request.caller.key);
-  if (range == nullptr || !range->ready) return Placement::kNoTarget;
-  if (now() < request.hold_back_until && request.denied_revision == view_.keys.revision) {
-    return Placement::kNoTarget;
-  }
-  const Target* const owner = view_.directory.Find(range->owner);
-  if (owner == nullptr || !view_.Usable(*owner, now())) return Placement::kNoTarget;
-  if (view_.IsCold(*owner, now()) && !view_.cold.Available(range->owner, now())) {
-    return Placement::kNoRoom;
-  }
-  const TargetHealth& health = view_.health[range->owner];
-  if (health.Load(now()) + 1 > owner->entry.slots + settings_.selector.overcommit ||
-      !HasConnection(*owner, *request.service)) {
-    return Placement::kNoRoom;
-  }
-  target = owner;
-  return Placement::kFound;
-}
-
-Forwarder::Placement Forwarder::PlaceAtAny(const Request& request, const Target*& target) {
-  std::vector<Candidate> candidates;
-  std::vector<const Target*> targets;
-  bool any = false;
-  for (const auto& [id, it] : view_.directory.targets()) {
-    if (it.entry.service != request.service->name || !view_.Usable(it, now())) continue;
-    if (request.Tried(id)) continue;
-    any = true;
-    if (view_.IsCold(it, now()) && !view_.cold.Available(id, now())) continue;
-    if (!HasConnection(it, *request.service)) continue;
-    candidates.push_back(Describe(it));
-    targets.push_back(&it);
-  }
-  const Duration usual = UsualLatency(request.service->name);
-  const auto best = SelectTarget(candidates, usual > Duration{0} ? usual : kUnknownLatency,
-                                 settings_.selector, random_());
-  if (!best) return any ? Placement::kNoRoom : Placement::kNoTarget;
-  target = targets[*best];
-  return Placement::kFound;
-}
-
-Candidate Forwarder::Describe(const Target& target) {
-  const TargetHealth& health = view_.health[target.entry.id];
-  Candidate result;
-  result.load = health.Load(now());
-  result.slots = target.entry.slots;
-  const Duration usual =
-      health.latency() > Duration{0} ? health.latency() : UsualLatency(target.entry.service);
-  result.latency = FromSeconds(Seconds(usual) * health.Slowdown(now()));
-  result.failure_share = health.failure_share();
-  result.shed_share = health.shed_share();
-  result.same_data_centre = target.entry.data_centre == view_.data_centre;
-  result.has_idle_connection = pool_.IdleCount(target.entry.address) > 0;
-  return result;
-}
-
-bool Forwarder::HasConnection(const Target& target, const Service& service) const {
-  if (service.max_connections == 0 || pool_.IdleCount(target.entry.address) > 0) return true;
-  const double share = service.max_connections * settings_.connection_share /
-                       static_cast<double>(std::max<std::size_t>(1, view_.instances));
-  return pool_.Count(target.entry.address) <
-         std::max<std::size_t>(1, static_cast<std::size_t>(share));
-}
-
 void Forwarder::Send(Request& request, const Target& target) {
   request.unlink();
   request.target_id = target.entry.id;
@@ -512,16 +383,17 @@
 void Forwarder::Refuse(Request& request, int status, Refusal refusal, Duration retry_after) {
   if (request.ended) return;
   ++counters_.refusals[static_cast<std::size_t>(refusal)];
+  const bool retry_helps = status == 503 || status == 429;
+  if (!retry_helps) retry_after = Duration{0};
   LogRequest(LogLevel::kWarning, "refused", request,
              {{"status", status},
               {"reason", NameOf(refusal)},
               {"retry_after_ms", retry_after.count() / 1000},
               {"config_age_ms", (now() - view_.config_verified_at).count() / 1000}});
   CountEnd(request, NameOf(refusal));
-  const bool retry_helps = status == 503 || status == 429;
   Finish(request,
          protocol_.MakeAnswer(status, NameOf(refusal), request.may_have_run,
-                              request.caller.request_id, retry_helps ? retry_after : Duration{0}),
+                              request.caller.request_id, retry_after),
          nullptr);
 }
 
--- /dev/null
+++ b/packages/fleet/src/requests/forwarder_placement.cc
@@ -0,0 +1,83 @@
+// Where the forwarder sends a request: the owner of its key, or the best target of its service.
+
+#include "forwarder_request.h"
+
+namespace dogwoodport::fleet {
+
+Forwarder::Placement Forwarder::TrySend(Request& request) {
+  const Target* target = nullptr;
+  const Placement placement = Place(request, target);
+  if (placement == Placement::kFound) Send(request, *target);
+  return placement;
+}
+
+Forwarder::Placement Forwarder::Place(const Request& request, const Target*& target) {
+  return request.service->keyed ? PlaceAtOwner(request, target) : PlaceAtAny(request, target);
+}
+
+Forwarder::Placement Forwarder::PlaceAtOwner(const Request& request, const Target*& target) {
+  const KeyRange* const range = view_.keys.Find(request.service->name, *request.caller.key);
+  if (range == nullptr || !range->ready) return Placement::kNoTarget;
+  if (now() < request.hold_back_until && request.denied_revision == view_.keys.revision) {
+    return Placement::kNoTarget;
+  }
+  const Target* const owner = view_.directory.Find(range->owner);
+  if (owner == nullptr || !view_.Usable(*owner, now())) return Placement::kNoTarget;
+  if (view_.IsCold(*owner, now()) && !view_.cold.Available(range->owner, now())) {
+    return Placement::kNoRoom;
+  }
+  const TargetHealth& health = view_.health[range->owner];
+  if (health.Load(now()) + 1 > owner->entry.slots + settings_.selector.overcommit ||
+      !HasConnection(*owner, *request.service)) {
+    return Placement::kNoRoom;
+  }
+  target = owner;
+  return Placement::kFound;
+}
+
+Forwarder::Placement Forwarder::PlaceAtAny(const Request& request, const Target*& target) {
+  std::vector<Candidate> candidates;
+  std::vector<const Target*> targets;
+  bool any = false;
+  for (const auto& [id, entry] : view_.directory.OfService(request.service->name)) {
+    const Target& it = *entry;
+    if (!view_.Usable(it, now())) continue;
+    if (request.Tried(id)) continue;
+    any = true;
+    if (view_.IsCold(it, now()) && !view_.cold.Available(id, now())) continue;
+    if (!HasConnection(it, *request.service)) continue;
+    candidates.push_back(Describe(it));
+    targets.push_back(&it);
+  }
+  const Duration usual = UsualLatency(request.service->name);
+  const auto best = SelectTarget(candidates, usual > Duration{0} ? usual : kUnknownLatency,
+                                 settings_.selector, random_());
+  if (!best) return any ? Placement::kNoRoom : Placement::kNoTarget;
+  target = targets[*best];
+  return Placement::kFound;
+}
+
+Candidate Forwarder::Describe(const Target& target) {
+  const TargetHealth& health = view_.health[target.entry.id];
+  Candidate result;
+  result.load = health.Load(now());
+  result.slots = target.entry.slots;
+  const Duration usual =
+      health.latency() > Duration{0} ? health.latency() : UsualLatency(target.entry.service);
+  result.latency = FromSeconds(Seconds(usual) * health.Slowdown(now()));
+  result.failure_share = health.failure_share();
+  result.shed_share = health.shed_share();
+  result.same_data_centre = target.entry.data_centre == view_.data_centre;
+  result.has_idle_connection = pool_.IdleCount(target.entry.address) > 0;
+  return result;
+}
+
+bool Forwarder::HasConnection(const Target& target, const Service& service) const {
+  if (service.max_connections == 0 || pool_.IdleCount(target.entry.address) > 0) return true;
+  const double share = service.max_connections * settings_.connection_share /
+                       static_cast<double>(std::max<std::size_t>(1, view_.instances));
+  return pool_.Count(target.entry.address) <
+         std::max<std::size_t>(1, static_cast<std::size_t>(share));
+}
+
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/packages/fleet/src/requests/forwarder_request.h
@@ -0,0 +1,72 @@
+#pragma once
+
+/// @file
+/// State of one request in the forwarder; private to its sources.
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dogwoodport/fleet/requests/forwarder.h"
+
+namespace dogwoodport::fleet {
+
+/// Time of a request at a service that has not served any yet.
+inline constexpr Duration kUnknownLatency{100'000};
+
+/// One request of a caller.
+class Forwarder::Request : public Waiter,
+                           public net::CallHandler,
+                           public boost::intrusive_ref_counter<Request> {
+ public:
+  Request(Forwarder& forwarder, net::ExchangePtr call)
+      : owner(forwarder), exchange(std::move(call)) {}
+
+  void OnResponse(net::HttpResponse response) override {
+    const RequestPtr keep(this);
+    owner.OnAnswer(*this, std::move(response));
+  }
+  void OnFailure(net::CallFailure failure) override {
+    const RequestPtr keep(this);
+    owner.OnBroken(*this, failure);
+  }
+  bool Accepts(const net::HttpResponse& response) override {
+    const AnswerFields answer = owner.protocol_.ReadAnswer(response);
+    if (answer.request_id == caller.request_id) return true;
+    owner.LogRequest(LogLevel::kWarning, "foreign_answer", *this,
+                     {{"status", response.status}, {"answer_id", answer.request_id}});
+    return false;
+  }
+
+  bool idempotent() const noexcept { return route->kind == RequestKind::kIdempotent; }
+  bool Tried(const std::string& id) const {
+    return std::find(tried.begin(), tried.end(), id) != tried.end();
+  }
+
+  Forwarder& owner;
+  net::ExchangePtr exchange;
+  CallerFields caller;
+  RoutingConfigPtr config;
+  const Route* route = nullptr;
+  std::string account;
+  const Service* service = nullptr;
+  /// The final answer is due at this time.
+  TimePoint due_at{};
+  TimePoint objective_at{};
+  /// Targets that the request was sent to.
+  std::vector<std::string> tried;
+  int sends = 0;
+  /// Whether a target may have run the request, or may do so later.
+  bool may_have_run = false;
+  /// After an owner denied that it holds the key: no send until the owners change or this time.
+  TimePoint hold_back_until{};
+  std::uint64_t denied_revision = 0;
+  std::string target_id;
+  net::ClientConnectionPtr connection;
+  TimePoint sent_at{};
+  net::TimerId timer;
+  bool ended = false;
+};
+
+}  // namespace dogwoodport::fleet
--- a/scripts/run_demo.sh
+++ b/scripts/run_demo.sh
@@ -131,6 +131,9 @@
 curl -sS -H "Authorization: Bearer $operator_secret" "$operators/-/owners?service=khata&key=a"
 curl -sS "$operators/-/metrics" | grep -E '^dogwood_(requests|forwarded|attempts)_total'
 
+say "the users' platform: three instances on stand-ins of its store, targets and callers, with random faults"
+"$build/tools/soak" --seed 1 --seconds 3
+
 say "an operator withdraws the secret k1"
 append 2 "lost laptop" secret_change '{"account":"hospital","expected_version":0,"action":"withdraw","secret":{"key_id":"k1","salt":"","hash":""}}'
 refused() { [ "$(curl -s -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $caller_secret" "$entry/dokan/rice")" = 401 ]; }
--- a/tests/fleet/unit-routing.cpp
+++ b/tests/fleet/unit-routing.cpp
@@ -188,6 +188,30 @@
   }
 }
 
+TEST_CASE("targets are found by their service", "[routing]") {
+  TargetDirectory directory;
+  TargetEntry entry = Entry(1, 5);
+  entry.service = "a";
+  directory.Apply(entry, At(0));
+  CHECK(directory.OfService("a").count("t") == 1);
+  CHECK(directory.OfService("b").empty());
+  entry.sequence = 6;
+  entry.service = "b";
+  directory.Apply(entry, At(1));
+  CHECK(directory.OfService("a").empty());
+  CHECK(directory.OfService("b").at("t") == directory.Find("t"));
+  SECTION("and not when they are gone") {
+    directory.Remove("t", At(2), false, Duration{0});
+    CHECK(directory.OfService("b").empty());
+  }
+  SECTION("nor when they stay away") {
+    directory.Remove("t", At(2), true, milliseconds(10));
+    CHECK(directory.OfService("b").size() == 1);
+    directory.Expire(At(20));
+    CHECK(directory.OfService("b").empty());
+  }
+}
+
 TEST_CASE("an entry that goes at other times is gone at once", "[routing]") {
   TargetDirectory directory;
   directory.Apply(Entry(1, 5), At(0));
