Share the packing of messages, and mend what the linter found

key_table and peer_exchange had the same two templates; the faults of a target in the soak differ by their field only. Members that nothing uses are gone.

--- /dev/null
+++ b/packages/fleet/include/dogwoodport/fleet/detail/packing.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/// @file
+/// MessagePack of whole values, for records and datagrams.
+
+#include <msgpack.hpp>
+#include <string>
+
+namespace dogwoodport::fleet::detail {
+
+template <typename T>
+std::string Pack(const T& value) {
+  msgpack::sbuffer buf;
+  msgpack::pack(buf, value);
+  return {buf.data(), buf.size()};
+}
+
+/// Throws std::exception if the bytes hold no `T`.
+template <typename T>
+T Unpack(const std::string& bytes) {
+  T value;
+  msgpack::unpack(bytes.data(), bytes.size()).get().convert(value);
+  return value;
+}
+
+}  // namespace dogwoodport::fleet::detail
--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -18,7 +18,6 @@
 namespace dogwoodport::fleet {
 
 struct InstanceSettings {
-  std::string name;
   std::string data_centre;
   /// "ip:port".
   std::string caller_address;
@@ -78,7 +77,6 @@
   volatile std::sig_atomic_t* stop_flag() noexcept { return &stop_requested_; }
 
  private:
-  void StartFeeds();
   void OnOperators(const std::vector<StoreRecord>& records, bool complete);
   void ApplyConfig(const RoutingConfigPtr& config);
   void SetWithdrawn(std::set<std::string> withdrawn);
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -5,11 +5,15 @@
 #include <algorithm>
 #include <array>
 
+#include "dogwoodport/fleet/detail/packing.h"
 #include "dogwoodport/net/net_error.h"
 
 namespace dogwoodport::fleet {
 namespace {
 
+using detail::Pack;
+using detail::Unpack;
+
 constexpr char kReportKind = 'r';
 constexpr char kLoadKind = 'l';
 constexpr char kTableKind = 't';
@@ -20,20 +24,6 @@
 /// Datagrams read in one round.
 constexpr int kReadsPerRound = 64;
 
-template <typename T>
-std::string Pack(const T& value) {
-  msgpack::sbuffer buf;
-  msgpack::pack(buf, value);
-  return {buf.data(), buf.size()};
-}
-
-template <typename T>
-T Unpack(const std::string& bytes) {
-  T value;
-  msgpack::unpack(bytes.data(), bytes.size()).get().convert(value);
-  return value;
-}
-
 }  // namespace
 
 PeerExchange::PeerExchange(net::EventLoop& loop, EventLog& log, PeerSettings settings,
--- a/packages/fleet/src/membership/target_directory.cc
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -88,9 +88,9 @@
 
 const std::map<std::string, const Target*>& TargetDirectory::OfService(
     const std::string& service) const {
-  static const std::map<std::string, const Target*> kNone;
+  static const std::map<std::string, const Target*> none;
   const auto it = by_service_.find(service);
-  return it == by_service_.end() ? kNone : it->second;
+  return it == by_service_.end() ? none : it->second;
 }
 
 const Target* TargetDirectory::Find(const std::string& id) const {
--- a/packages/fleet/src/ownership/key_table.cc
+++ b/packages/fleet/src/ownership/key_table.cc
@@ -1,25 +1,15 @@
 #include "dogwoodport/fleet/ownership/key_table.h"
 
 #include <algorithm>
-#include <sstream>
+
+#include "dogwoodport/fleet/detail/packing.h"
 
 namespace dogwoodport::fleet {
 
 namespace {
 
-template <typename T>
-std::string Pack(const T& value) {
-  msgpack::sbuffer buf;
-  msgpack::pack(buf, value);
-  return {buf.data(), buf.size()};
-}
-
-template <typename T>
-T Unpack(const std::string& bytes) {
-  T value;
-  msgpack::unpack(bytes.data(), bytes.size()).get().convert(value);
-  return value;
-}
+using detail::Pack;
+using detail::Unpack;
 
 bool Overlaps(const KeyRange& a, const KeyRange& b) noexcept {
   return a.first <= b.last && b.first <= a.last;
--- a/packages/fleet/src/requests/request_metrics.cc
+++ b/packages/fleet/src/requests/request_metrics.cc
@@ -1,5 +1,6 @@
 #include "dogwoodport/fleet/requests/request_metrics.h"
 
+#include <array>
 #include <boost/histogram/make_histogram.hpp>
 #include <sstream>
 #include <vector>
@@ -10,8 +11,8 @@
 namespace {
 
 /// Upper bounds of the buckets in seconds, around the latency objectives of 0.2 to 2 s.
-const std::vector<double> kBounds = {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5,
-                                     0.75,  1,    1.5,   2,    3,   5,   10};
+constexpr std::array<double, 15> kBounds = {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5,
+                                            0.75,  1,    1.5,   2,    3,   5,   10};
 
 }  // namespace
 
--- a/tools/soak/faults.cc
+++ b/tools/soak/faults.cc
@@ -10,30 +10,33 @@
 using platform::standin::StoreMode;
 using platform::standin::TargetFaults;
 
-const std::vector<Faults::Kind> Faults::kKinds = {
-    {"kill instance", &Faults::KillInstance},
-    {"stop instance", &Faults::StopInstance},
-    {"pause instance", &Faults::PauseInstance},
-    {"reload instance", &Faults::ReloadInstance},
-    {"cut an instance from the store", &Faults::CutStore},
-    {"silence the store's answers", &Faults::SilenceStoreAnswers},
-    {"delay the store", &Faults::DelayStore},
-    {"reset connections to the store", &Faults::ResetStoreConnections},
-    {"disturb the store", &Faults::DisturbStore},
-    {"compact the store", &Faults::CompactStore},
-    {"crash target", &Faults::CrashTarget},
-    {"start target again under its id", &Faults::RebornTarget},
-    {"drain target", &Faults::DrainTarget},
-    {"silence target", &Faults::SilenceTarget},
-    {"reset connections to a target", &Faults::ResetTargetConnections},
-    {"slow target", &Faults::SlowTarget},
-    {"failing target", &Faults::FailingTarget},
-    {"target loses answers", &Faults::TargetThatLosesAnswers},
-    {"target spoils answers", &Faults::TargetThatSpoilsAnswers},
-    {"change configuration", &Faults::ChangeConfig},
-    {"rotate secret", &Faults::RotateSecret},
-    {"withdraw data centre", &Faults::WithdrawDataCentre},
-};
+const std::vector<Faults::Kind>& Faults::Kinds() {
+  static const std::vector<Kind> kinds = {
+      {"kill instance", &Faults::KillInstance},
+      {"stop instance", &Faults::StopInstance},
+      {"pause instance", &Faults::PauseInstance},
+      {"reload instance", &Faults::ReloadInstance},
+      {"cut an instance from the store", &Faults::CutStore},
+      {"silence the store's answers", &Faults::SilenceStoreAnswers},
+      {"delay the store", &Faults::DelayStore},
+      {"reset connections to the store", &Faults::ResetStoreConnections},
+      {"disturb the store", &Faults::DisturbStore},
+      {"compact the store", &Faults::CompactStore},
+      {"crash target", &Faults::CrashTarget},
+      {"start target again under its id", &Faults::RebornTarget},
+      {"drain target", &Faults::DrainTarget},
+      {"silence target", &Faults::SilenceTarget},
+      {"reset connections to a target", &Faults::ResetTargetConnections},
+      {"slow target", &Faults::SlowTarget},
+      {"failing target", &Faults::FailingTarget},
+      {"target loses answers", &Faults::TargetThatLosesAnswers},
+      {"target spoils answers", &Faults::TargetThatSpoilsAnswers},
+      {"change configuration", &Faults::ChangeConfig},
+      {"rotate secret", &Faults::RotateSecret},
+      {"withdraw data centre", &Faults::WithdrawDataCentre},
+  };
+  return kinds;
+}
 
 Faults::Faults(net::EventLoop& loop, platform::standin::FleetWorld& world, std::uint64_t seed,
                std::ostream& out)
@@ -43,7 +46,7 @@
   const TimePoint end = loop_.Refresh() + span;
   const TimePoint start = loop_.now();
   while (loop_.now() < end) {
-    const Kind& kind = kKinds[Pick(kKinds.size())];
+    const Kind& kind = Kinds()[Pick(Kinds().size())];
     out_ << (loop_.now() - start).count() / 1000 << " ms: " << kind.name << "\n";
     (this->*kind.start)();
     // Series of faults close together, with calmer times between them.
@@ -155,42 +158,24 @@
   world_.TargetProxy(Pick(world_.targets())).ResetAll();
 }
 
-TargetFaults* Faults::FaultsOf(std::size_t target) {
-  auto* const server = world_.Target(target);
-  return server == nullptr ? nullptr : &server->faults();
+void Faults::DisturbTarget(double TargetFaults::*field, double value) {
+  const std::size_t i = Pick(world_.targets());
+  const auto set = [this, i, field](double to) {
+    if (auto* const server = world_.Target(i)) server->faults().*field = to;
+  };
+  set(value);
+  MendAfter(Span(500, 4'000), [set, field] { set(TargetFaults{}.*field); });
 }
 
 void Faults::SlowTarget() {
-  const std::size_t i = Pick(world_.targets());
-  if (TargetFaults* const it = FaultsOf(i)) it->slowness = 2.0 + static_cast<double>(Pick(20));
-  MendAfter(Span(500, 4'000), [this, i] {
-    if (TargetFaults* const it = FaultsOf(i)) it->slowness = 1;
-  });
+  DisturbTarget(&TargetFaults::slowness, 2.0 + static_cast<double>(Pick(20)));
 }
 
-void Faults::FailingTarget() {
-  const std::size_t i = Pick(world_.targets());
-  if (TargetFaults* const it = FaultsOf(i)) it->fails = 0.5;
-  MendAfter(Span(500, 4'000), [this, i] {
-    if (TargetFaults* const it = FaultsOf(i)) it->fails = 0;
-  });
-}
+void Faults::FailingTarget() { DisturbTarget(&TargetFaults::fails, 0.5); }
 
-void Faults::TargetThatLosesAnswers() {
-  const std::size_t i = Pick(world_.targets());
-  if (TargetFaults* const it = FaultsOf(i)) it->loses_answers = 0.3;
-  MendAfter(Span(500, 4'000), [this, i] {
-    if (TargetFaults* const it = FaultsOf(i)) it->loses_answers = 0;
-  });
-}
+void Faults::TargetThatLosesAnswers() { DisturbTarget(&TargetFaults::loses_answers, 0.3); }
 
-void Faults::TargetThatSpoilsAnswers() {
-  const std::size_t i = Pick(world_.targets());
-  if (TargetFaults* const it = FaultsOf(i)) it->spoils = 0.3;
-  MendAfter(Span(500, 4'000), [this, i] {
-    if (TargetFaults* const it = FaultsOf(i)) it->spoils = 0;
-  });
-}
+void Faults::TargetThatSpoilsAnswers() { DisturbTarget(&TargetFaults::spoils, 0.3); }
 
 void Faults::ChangeConfig() { world_.PublishConfig(); }
 
--- a/tools/soak/faults.h
+++ b/tools/soak/faults.h
@@ -26,7 +26,7 @@
     const char* name;
     void (Faults::*start)();
   };
-  static const std::vector<Kind> kKinds;
+  static const std::vector<Kind>& Kinds();
 
   void KillInstance();
   void StopInstance();
@@ -60,7 +60,8 @@
   }
   /// Runs `mend` after `span`, or at the end of the play if that comes first.
   void MendAfter(Duration span, std::function<void()> mend);
-  platform::standin::TargetFaults* FaultsOf(std::size_t target);
+  /// Gives a fault of a target a value for a while.
+  void DisturbTarget(double platform::standin::TargetFaults::*field, double value);
 
   net::EventLoop& loop_;
   platform::standin::FleetWorld& world_;
