--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -62,13 +62,21 @@
   MSGPACK_DEFINE_ARRAY(address, number, in_flight)
 };
 
+/// An instance in a digest.
+struct PresentInstance {
+  std::string address;
+  std::string data_centre;
+
+  MSGPACK_DEFINE_ARRAY(address, data_centre)
+};
+
 /// What the coordinator knows of all instances. In a large fleet it stands in for the reports of
 /// the other instances, which then report to the coordinator only.
 struct PeerDigest {
   std::string address;
   std::uint64_t number = 0;
-  /// Addresses of the instances that the coordinator hears and that are not leaving.
-  std::vector<std::string> present;
+  /// Instances that the coordinator hears and that are not leaving.
+  std::vector<PresentInstance> present;
   /// Accounts over all these instances.
   std::vector<AccountReport> accounts;
 
@@ -99,6 +107,8 @@
   TimePoint heard_at{};
   /// Arrival of its latest own report; digests count for `heard_at` only.
   TimePoint reported_at{};
+  /// Number of its newest digest, if it is the coordinator.
+  std::uint64_t digest_number = 0;
   bool heard = false;
 };
 
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -15,9 +15,9 @@
 constexpr Duration kTableReadInterval{1'000'000};
 /// Changes of the table within this time are sent to the other instances together.
 constexpr Duration kTablePause{5'000};
+constexpr Duration kTablePausePerPeer{500};
 /// Longest time that a report is on its way.
 constexpr Duration kReportTravel{500'000};
-constexpr Duration kTablePausePerPeer{500};
 /// Time after the start, besides the interval of reports, before this instance tries to become the
 /// coordinator, so that it can hear the present one.
 constexpr Duration kQuietStart{450'000};
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -124,9 +124,10 @@
   digest_sent_at_ = loop_.now();
   PeerDigest digest;
   digest.address = address_;
-  digest.number = ++digest_number_;
+  digest.number = incarnation_ + ++digest_number_;
   for (const auto& [address, peer] : peers_) {
-    if (Reachable(peer) && !peer.report.leaving) digest.present.push_back(address);
+    if (!Reachable(peer) || peer.report.leaving) continue;
+    digest.present.push_back({address, peer.report.data_centre});
   }
   if (on_prepare_digest) on_prepare_digest(digest);
   SendToAll(kDigestKind, Pack(digest));
@@ -135,15 +136,18 @@
 void PeerExchange::ReceiveDigest(const PeerDigest& digest) {
   const auto sender = peers_.find(digest.address);
   if (sender == peers_.end() || !sender->second.report.leading) return;
+  if (digest.number <= sender->second.digest_number) return;
+  sender->second.digest_number = digest.number;
   // An instance that has stepped down may have told the new coordinator only.
   const std::uint64_t generation = sender->second.report.generation;
   for (auto& [address, peer] : peers_) {
     if (peer.report.generation < generation) peer.report.leading = false;
   }
-  for (const std::string& address : digest.present) {
-    if (address == address_) continue;
-    AddPeer(address);
-    Peer& peer = peers_[address];
+  for (const PresentInstance& it : digest.present) {
+    if (it.address == address_) continue;
+    AddPeer(it.address);
+    Peer& peer = peers_[it.address];
+    peer.report.data_centre = it.data_centre;
     peer.heard = true;
     peer.heard_at = loop_.now();
   }
