Share what the fleet's sources repeat, and drop what nothing reads

Ruled out: changes of behaviour; a replaced attempt is sent to the target that was found for it, not to a second choice.

--- a/packages/fleet/include/dogwoodport/fleet/json_lines_log.h
+++ b/packages/fleet/include/dogwoodport/fleet/json_lines_log.h
@@ -14,7 +14,6 @@
 /// Bounds of the volume.
 struct LogSettings {
   std::string instance;
-  std::string data_centre;
   /// Lines per second of each level; a second's worth may come at once.
   std::array<double, 4> lines_per_s = {5, 50, 40, 20};
   /// Bytes kept while the reader of the log does not read.
--- a/packages/fleet/include/dogwoodport/fleet/limits/account_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_exchange.h
@@ -60,20 +60,15 @@
   static constexpr Duration kDigestAge{1'500'000};
 
  private:
-  struct Use {
-    double demand = 0;
-    std::uint32_t admitted = 0;
-  };
-  using Uses = std::unordered_map<std::uint64_t, Use>;
   struct Sender {
     std::uint64_t incarnation = 0;
     TimePoint reported_at{};
-    Uses uses;
+    /// Latest report by account.
+    std::unordered_map<std::uint64_t, AccountReport> uses;
   };
   /// Last state of an account in the digests.
   struct Digested {
-    double demand = 0;
-    std::uint32_t admitted = 0;
+    AccountReport total;
     /// What this instance had reported then; it is part of the digest.
     std::uint32_t own_admitted = 0;
   };
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -140,6 +140,19 @@
   Duration unheard_retention{4'000'000};
 };
 
+/// Tells whether an instance counts as reachable at the time at which the test was made.
+struct ReachableTest {
+  TimePoint now{};
+  /// Silence from which on an instance does not count.
+  Duration limit{0};
+  Duration limit_of_coordinator{0};
+
+  bool operator()(const Peer& peer) const noexcept {
+    return peer.heard &&
+           now - peer.heard_at <= (peer.report.leading ? limit_of_coordinator : limit);
+  }
+};
+
 /// How an instance presents itself to the others.
 struct PeerIdentity {
   /// "ip:port" of the exchange.
@@ -200,8 +213,12 @@
   void SendTable(const std::string& bytes);
   void SendTable(const std::string& bytes, const std::string& address);
 
-  const std::map<std::string, Peer>& peers() const noexcept { return peers_; }
-  bool Reachable(const Peer& peer) const;
+  /// Instances by address.
+  using Peers = std::map<std::string, Peer>;
+  const Peers& peers() const noexcept { return peers_; }
+  /// Returns the test whether an instance has been heard lately, for a loop over the instances.
+  /// Complexity: linear in the instances; constant for the test.
+  ReachableTest Reachable() const;
   std::size_t reachable() const;
   /// Whether all instances that were ever known to this one have reported since `since` that they
   /// follow the coordinator of `generation`, or a newer one.
@@ -217,7 +234,9 @@
  private:
   Duration Interval(Duration shortest, double most_per_s) const;
   void Report(bool to_all, bool urgent);
-  bool IsNeighbour(const std::string& address, const Peer& peer) const;
+  /// Addresses that get this instance's loads: all, or the next ones of its data centre in the ring
+  /// of the addresses. Complexity: linear.
+  std::vector<std::string> Neighbours() const;
   void ScheduleReport();
   void ScheduleLoad();
   void ScheduleDigest(Duration delay);
@@ -238,7 +257,7 @@
   std::string data_centre_;
   std::uint64_t incarnation_;
   Poco::Net::DatagramSocket socket_;
-  std::map<std::string, Peer> peers_;
+  Peers peers_;
   /// Addresses of all instances that were ever known, those that were forgotten included.
   std::set<std::string> ever_known_;
   net::TimerId report_timer_;
--- a/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
@@ -15,9 +15,6 @@
 /// A target and what this instance has learned of it.
 struct Target {
   TargetEntry entry;
-  TimePoint first_seen{};
-  /// Arrival of the newest heartbeat.
-  TimePoint heard_at{};
   TimePoint cold_until{};
   /// Set when the entry was removed while the store may have lost heartbeats; the target counts as
   /// gone from then on.
--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
@@ -99,8 +99,6 @@
   TimePoint took_over_at() const noexcept { return took_over_at_; }
   bool taking_over() const noexcept { return role_ == Role::kTakingOver; }
   const KeyTable& table() const noexcept { return table_; }
-  /// Share of all keys that were moved by this instance.
-  double moved_share() const noexcept { return moved_share_; }
 
  private:
   enum class Role { kFollowing, kTakingOver, kLeading };
@@ -203,7 +201,6 @@
     TimePoint grown_at{};
   };
   std::map<std::string, Gathering> gatherings_;
-  double moved_share_ = 0;
   /// Grows with each change of role, so that late callbacks are recognised.
   std::uint64_t term_ = 0;
   /// Expires with this object, so that callbacks after its end do nothing.
--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_table.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_table.h
@@ -97,6 +97,9 @@
 /// Codec of the records. `Decode` throws std::exception on other bytes.
 std::string Encode(const KeyTable& table);
 KeyTable DecodeKeyTable(const std::string& bytes);
+/// Decodes the record at `offset` and resolves its tokens. Whether a grant was confirmed is not
+/// recorded, so ranges that are not moving count as ready; a target that holds no key says so.
+KeyTable DecodeRecordedTable(const std::string& bytes, std::uint64_t offset);
 
 /// Merges neighbours with the same owner that are not moving. A merged range gets token 0, so that
 /// one grant with a new token covers it.
--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -116,16 +116,20 @@
   void OnAnswer(Request& request, net::HttpResponse response);
   void OnNotRun(Request& request, const net::HttpResponse& response);
   void OnBroken(Request& request, net::CallFailure failure);
+  /// Calls `OnTimer` at `at`, instead of at the time set before.
+  void ArmTimer(Request& request, TimePoint at);
   void OnTimer(Request& request);
   void OnAbandoned(Request& request);
   /// Takes the right to send the request once more. `arrived` tells that the attempt before reached
   /// a target, which makes the next one count against the budget.
   bool MayRepeat(const Request& request, bool arrived);
-  void SendAgain(Request& request);
   bool Repeat(Request& request, bool arrived);
   /// Whether this instance's part of a target's connections has one for another request.
   bool HasConnection(const Target& target, const Service& service) const;
   void EndAttempt(Request& request, SendResult result);
+  /// Status for a request that found no target: one that may have run must not be called "not run",
+  /// unless it may be repeated.
+  static int StatusOfGivenUp(const Request& request);
   void Refuse(Request& request, int status, Refusal refusal, Duration retry_after);
   void Finish(Request& request, net::HttpResponse response, const char* outcome);
   void OfferService(const std::string& service);
--- a/packages/fleet/include/dogwoodport/fleet/routing/target_health.h
+++ b/packages/fleet/include/dogwoodport/fleet/routing/target_health.h
@@ -47,7 +47,6 @@
   double shed_share() const noexcept { return sheds_; }
   /// Whether requests should go elsewhere at `now`.
   bool ejected(TimePoint now) const noexcept { return now < ejected_until_; }
-  TimePoint ejected_until() const noexcept { return ejected_until_; }
 
   /// Whether the target may have started again without a heartbeat that says so: it could not be
   /// reached, and has served for less than a cold start since. It may be cold.
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -164,7 +164,6 @@
 
 void Instance::PrepareReport(PeerReport& report, bool to_coordinator) {
   const TimePoint now = loop_.now();
-  report.data_centre = settings_.data_centre;
   report.wants_table = wants_table_;
   report.processor_share = static_cast<float>(settings_.processor_share);
   report.leading = coordinator_.leading();
@@ -239,16 +238,19 @@
 void Instance::RefreshShares() {
   const TimePoint now = loop_.now();
   shares_at_ = now + kSharesInterval;
-  const auto reachable = static_cast<std::size_t>(std::count_if(
-      peers_.peers().begin(), peers_.peers().end(),
-      [this](const auto& it) { return peers_.Reachable(it.second) && !it.second.report.leaving; }));
+  const ReachableTest is_reachable = peers_.Reachable();
+  std::size_t reachable = 0;
+  for (const auto& [address, peer] : peers_.peers()) {
+    if (!is_reachable(peer)) {
+      accounts_.SetSilent(address);
+    } else if (!peer.report.leaving) {
+      ++reachable;
+    }
+  }
   const std::size_t known = peers_.peers().size();
   view_.accounts.SetInstances(reachable, known - std::min(known, reachable));
   view_.instances = known + 1;
   view_.retry_budget.SetInstances(known + 1);
-  for (const auto& [address, peer] : peers_.peers()) {
-    if (!peers_.Reachable(peer)) accounts_.SetSilent(address);
-  }
   accounts_.UpdateDemand(now, peers_.IsLarge() && !coordinator_.leading());
   // All known instances, silent ones too, so that instances with different views of who is
   // reachable, as after a common restart, still choose the same senders.
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -93,13 +93,7 @@
     if (records == nullptr || records->records.empty()) return;
     const StoreRecord& newest = records->records.back();
     try {
-      KeyTable table = DecodeKeyTable(newest.value.value_or(""));
-      ResolveTokens(table, newest.offset);
-      // Whether a grant was confirmed is not recorded; a target that holds no key says so.
-      for (auto& [service, ranges] : table.services) {
-        for (KeyRange& it : ranges) it.ready = it.previous.empty() && !it.owner.empty();
-      }
-      AdoptTable(std::move(table), "store");
+      AdoptTable(DecodeRecordedTable(newest.value.value_or(""), newest.offset), "store");
     } catch (const std::exception& e) {
       log_.Write(LogLevel::kError, "ownership_unreadable", {{"error", e.what()}});
     }
@@ -172,8 +166,9 @@
   auto own = view_.key_load.Busiest(loop_.now(), settings_.reported_buckets);
   add(own[service]);
   const std::uint64_t hash = HashOf(service);
+  const ReachableTest reachable = peers_.Reachable();
   for (const auto& [address, peer] : peers_.peers()) {
-    if (!peers_.Reachable(peer)) continue;
+    if (!reachable(peer)) continue;
     for (const auto& [name, buckets] : peer.report.key_load) {
       if (name == hash) add(buckets);
     }
@@ -194,8 +189,9 @@
   const Duration silence = peers_.CoordinatorSilence(settings_.coordinator_silence);
   std::size_t rank = 0;
   bool has_coordinator = false;
+  const ReachableTest reachable = peers_.Reachable();
   for (const auto& [address, peer] : peers_.peers()) {
-    if (!peers_.Reachable(peer)) continue;
+    if (!reachable(peer)) continue;
     const PeerReport& report = peer.report;
     // A coordinator that has lost the store is replaced by an instance that reaches it.
     const bool cut_off = report.store_age_ms > kLostStoreMs && own_store_age < kReachedStore;
--- a/packages/fleet/src/limits/account_exchange.cc
+++ b/packages/fleet/src/limits/account_exchange.cc
@@ -36,12 +36,12 @@
   }
   for (auto& [account, use] : known.uses) use.demand = 0;
   for (const AccountReport& account : report) {
-    Use& use = known.uses[account.account];
+    AccountReport& use = known.uses[account.account];
     // What a sender admitted while it did not report here is past, or in the digests.
     if (!is_new && account.admitted > use.admitted) {
       Count(account.account, account.admitted - use.admitted, now);
     }
-    use = {account.demand, account.admitted};
+    use = account;
   }
 }
 
@@ -62,7 +62,7 @@
   for (const AccountReport& it : MakeReport(now)) totals[it.account] = it;
   for (const auto& [address, sender] : senders_) {
     for (const auto& [account, use] : sender.uses) {
-      totals[account].demand += static_cast<float>(use.demand);
+      totals[account].demand += use.demand;
     }
   }
   std::vector<AccountReport> result;
@@ -84,19 +84,19 @@
   limiter_.SetKnown(now);
   digest_sender_ = sender;
   digest_at_ = now;
-  for (auto& [account, last] : digested_) last.demand = 0;
+  for (auto& [account, last] : digested_) last.total.demand = 0;
   for (const AccountReport& it : digest) {
     const auto name = names_.find(it.account);
     if (name == names_.end()) continue;
     const std::uint32_t own = limiter_.Reported(name->second).admitted;
     const auto [last, is_new] = digested_.try_emplace(it.account);
     if (follows || !is_new) {
-      const std::int64_t total = std::int64_t{it.admitted} - last->second.admitted;
+      const std::int64_t total = std::int64_t{it.admitted} - last->second.total.admitted;
       const std::int64_t own_part = std::int64_t{own} - last->second.own_admitted;
       limiter_.OnOthersAdmitted(
           name->second, static_cast<double>(std::max<std::int64_t>(0, total - own_part)), now);
     }
-    last->second = {it.demand, it.admitted, own};
+    last->second = {it, own};
   }
 }
 
@@ -107,7 +107,7 @@
     double others = 0;
     if (digested) {
       const auto it = digested_.find(account);
-      const double total = it == digested_.end() ? 0 : it->second.demand;
+      const double total = it == digested_.end() ? 0 : it->second.total.demand;
       others = std::max(0.0, total - limiter_.Reported(name).demand);
     } else {
       for (const auto& [address, sender] : senders_) {
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -76,19 +76,18 @@
   });
 }
 
-bool PeerExchange::IsNeighbour(const std::string& address, const Peer& peer) const {
-  if (!IsLarge()) return true;
-  if (peer.report.data_centre != data_centre_) return false;
-  // The next ones in the order of the addresses, in a ring.
-  std::size_t between = 0;
-  const bool wraps = address < address_;
-  for (const auto& [other, it] : peers_) {
-    if (it.report.data_centre != data_centre_) continue;
-    const bool after = other > address_;
-    const bool before = other < address;
-    if (wraps ? after || before : after && before) ++between;
-  }
-  return between < settings_.most_neighbours;
+std::vector<std::string> PeerExchange::Neighbours() const {
+  if (!IsLarge()) return KnownAddresses();
+  std::vector<std::string> result;
+  const auto add = [&](Peers::const_iterator from, Peers::const_iterator to) {
+    for (; from != to && result.size() < settings_.most_neighbours; ++from) {
+      if (from->second.report.data_centre == data_centre_) result.push_back(from->first);
+    }
+  };
+  const auto next = peers_.upper_bound(address_);
+  add(next, peers_.end());
+  add(peers_.begin(), next);
+  return result;
 }
 
 Duration PeerExchange::CoordinatorSilence(Duration shortest) const {
@@ -125,8 +124,9 @@
   PeerDigest digest;
   digest.address = address_;
   digest.number = incarnation_ + ++digest_number_;
+  const ReachableTest reachable = Reachable();
   for (const auto& [address, peer] : peers_) {
-    if (!Reachable(peer) || peer.report.leaving) continue;
+    if (!reachable(peer) || peer.report.leaving) continue;
     digest.present.push_back({address, peer.report.data_centre});
   }
   if (on_prepare_digest) on_prepare_digest(digest);
@@ -181,8 +181,9 @@
   if (load.in_flight.empty() && load_was_empty_) return;
   load_was_empty_ = load.in_flight.empty();
   const std::string body = Pack(load);
-  for (const auto& [address, peer] : peers_) {
-    if (Reachable(peer) && IsNeighbour(address, peer)) SendTo(address, kLoadKind, body);
+  const ReachableTest reachable = Reachable();
+  for (const std::string& address : Neighbours()) {
+    if (reachable(peers_.at(address))) SendTo(address, kLoadKind, body);
   }
 }
 
@@ -210,6 +211,7 @@
   report.address = address_;
   report.incarnation = incarnation_;
   report.number = ++number_;
+  report.data_centre = data_centre_;
   report.stamp_us = loop_.now().time_since_epoch().count();
   report.urgent = urgent;
   PeerReport full = report;
@@ -224,8 +226,9 @@
 }
 
 void PeerExchange::PushFeed(FeedPush push, TimePoint verified_at) {
+  const ReachableTest reachable = Reachable();
   for (const auto& [address, peer] : peers_) {
-    if (!Reachable(peer)) continue;
+    if (!reachable(peer)) continue;
     push.verified_us = peer.report.stamp_us + (verified_at - peer.heard_at).count();
     SendTo(address, kFeedKind, Pack(push));
   }
@@ -289,7 +292,7 @@
   const bool older = peer.heard && std::pair(report.incarnation, report.number) <
                                        std::pair(peer.report.incarnation, peer.report.number);
   if (older) return;
-  if (!Reachable(peer)) {
+  if (!Reachable()(peer)) {
     log_.Write(LogLevel::kInfo, "peer_reachable", {{"peer", report.address}});
   }
   peer.report = std::move(report);
@@ -315,14 +318,15 @@
   }
 }
 
-bool PeerExchange::Reachable(const Peer& peer) const {
-  const Duration limit = std::max(settings_.silence, ReportInterval(peer.report.leading) * 3);
-  return peer.heard && loop_.now() - peer.heard_at <= limit;
+ReachableTest PeerExchange::Reachable() const {
+  return {loop_.now(), std::max(settings_.silence, ReportInterval(false) * 3),
+          std::max(settings_.silence, ReportInterval(true) * 3)};
 }
 
 std::size_t PeerExchange::reachable() const {
+  const ReachableTest test = Reachable();
   return static_cast<std::size_t>(std::count_if(
-      peers_.begin(), peers_.end(), [this](const auto& it) { return Reachable(it.second); }));
+      peers_.begin(), peers_.end(), [&test](const auto& it) { return test(it.second); }));
 }
 
 bool PeerExchange::AllFollow(std::uint64_t generation, TimePoint since) const {
--- a/packages/fleet/src/membership/target_directory.cc
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -34,7 +34,6 @@
   Target& target = it->second;
   if (!joined && IsOlder(entry, target.entry)) return TargetChange::kNone;
   TargetChange change = joined ? TargetChange::kJoined : Compare(target.entry, entry);
-  if (joined) target.first_seen = now;
   const bool turned_cold = entry.cold_for > Duration{0} && !target.cold(now);
   if (change == TargetChange::kNone && turned_cold) change = TargetChange::kTurnedCold;
   if (joined || change == TargetChange::kRestarted || entry.cold_for > Duration{0}) {
@@ -48,7 +47,6 @@
     by_service_[target.entry.service].erase(entry.id);
   }
   target.entry = entry;
-  target.heard_at = now;
   by_service_[entry.service][entry.id] = &target;
   if (change != TargetChange::kNone) ++version_;
   return change;
--- a/packages/fleet/src/ownership/key_table.cc
+++ b/packages/fleet/src/ownership/key_table.cc
@@ -87,6 +87,15 @@
 
 KeyTable DecodeKeyTable(const std::string& bytes) { return Unpack<KeyTable>(bytes); }
 
+KeyTable DecodeRecordedTable(const std::string& bytes, std::uint64_t offset) {
+  KeyTable table = DecodeKeyTable(bytes);
+  ResolveTokens(table, offset);
+  for (auto& [service, ranges] : table.services) {
+    for (KeyRange& it : ranges) it.ready = it.previous.empty() && !it.owner.empty();
+  }
+  return table;
+}
+
 void MergeNeighbours(KeyRanges& ranges) {
   KeyRanges merged;
   for (const KeyRange& it : ranges) {
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -191,15 +191,18 @@
   const QueueState queue{state.queue.Ahead(request.priority), state.completions.PerSecond(now())};
   const Duration useful = request.useful_until - now();
   if (const auto retry_after = DecideRefusal(queue, useful, Random())) {
-    Refuse(request, request.may_have_run && !request.idempotent() ? 502 : 503,
+    Refuse(request, StatusOfGivenUp(request),
            placement == Placement::kNoTarget ? Refusal::kNoTarget : Refusal::kOverloaded,
            *retry_after);
     return;
   }
   state.queue.Push(request);
-  const RequestPtr keep(&request);
+  ArmTimer(request, request.useful_until);
+}
+
+void Forwarder::ArmTimer(Request& request, TimePoint at) {
   loop_.Cancel(request.timer);
-  request.timer = loop_.RunAt(request.useful_until, [keep] {
+  request.timer = loop_.RunAt(at, [keep = RequestPtr(&request)] {
     keep->timer = net::TimerId{};
     keep->owner.OnTimer(*keep);
   });
@@ -227,11 +230,7 @@
       next = std::min(next, std::max(last_chance, patience));
     }
   }
-  loop_.Cancel(request.timer);
-  request.timer = loop_.RunAt(next, [keep = RequestPtr(&request)] {
-    keep->timer = net::TimerId{};
-    keep->owner.OnTimer(*keep);
-  });
+  ArmTimer(request, next);
 }
 
 void Forwarder::EndAttempt(Request& request, SendResult result) {
@@ -288,8 +287,7 @@
   request.denied_revision = view_.keys.revision;
   EndAttempt(request, misdirected ? SendResult::kCancelled : SendResult::kShed);
   if (!Repeat(request, true)) {
-    Refuse(request, request.may_have_run && !request.idempotent() ? 502 : 503, Refusal::kOverloaded,
-           kDefaultRetry);
+    Refuse(request, StatusOfGivenUp(request), Refusal::kOverloaded, kDefaultRetry);
   }
 }
 
@@ -316,15 +314,11 @@
   return !arrived || view_.retry_budget.Take(request.service->name, now());
 }
 
-void Forwarder::SendAgain(Request& request) {
+bool Forwarder::Repeat(Request& request, bool arrived) {
+  if (!MayRepeat(request, arrived)) return false;
   ++counters_.retries;
   const Placement placement = TrySend(request);
   if (placement != Placement::kFound) Wait(request, placement);
-}
-
-bool Forwarder::Repeat(Request& request, bool arrived) {
-  if (!MayRepeat(request, arrived)) return false;
-  SendAgain(request);
   return true;
 }
 
@@ -332,7 +326,7 @@
   if (request.ended) return;
   if (request.connection == nullptr) {
     const ServiceState& state = services_[request.service->name];
-    Refuse(request, request.may_have_run && !request.idempotent() ? 502 : 503, Refusal::kOverloaded,
+    Refuse(request, StatusOfGivenUp(request), Refusal::kOverloaded,
            RetryAfter({state.queue.Ahead(request.priority), 1.0}, Random()));
     return;
   }
@@ -344,10 +338,7 @@
                         MayRepeat(request, sent);
   if (!final && !replaced) {
     // The attempt is slow, but no other one can take its place.
-    request.timer = loop_.RunAt(request.due_at, [keep = RequestPtr(&request)] {
-      keep->timer = net::TimerId{};
-      keep->owner.OnTimer(*keep);
-    });
+    ArmTimer(request, request.due_at);
     return;
   }
   request.may_have_run = request.may_have_run || sent;
@@ -356,7 +347,8 @@
   EndAttempt(request, SendResult::kTimedOut);
   connection->Abort();
   if (!final) {
-    SendAgain(request);
+    ++counters_.retries;
+    Send(request, *other);
     return;
   }
   Refuse(request, request.may_have_run ? 504 : 503, Refusal::kTimedOut, kDefaultRetry);
@@ -380,6 +372,10 @@
   OfferService(request.service->name);
 }
 
+int Forwarder::StatusOfGivenUp(const Request& request) {
+  return request.may_have_run && !request.idempotent() ? 502 : 503;
+}
+
 void Forwarder::Refuse(Request& request, int status, Refusal refusal, Duration retry_after) {
   if (request.ended) return;
   ++counters_.refusals[static_cast<std::size_t>(refusal)];
