Tell the truth about requests that may have run, and heed targets that leave or want a pause

Played byte by byte against it: an idempotent request whose answer was lost was answered 503, which promises that it has not run; a 429 or 503 of a target without the mark of one that has not run was passed on as that promise; a late second copy of a refusal, on the connection on which the owner of a key was asked again, was taken for the answer to the second send, so that a request that ran was called not run; six resets of new connections ejected a target that was only full; four answers without end took 488 MB. A target that says in its answers that it leaves, or asks for a pause, went on getting requests.

--- a/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
@@ -3,7 +3,9 @@
 /// @file
 /// The targets as their heartbeats describe them.
 
+#include <compare>
 #include <map>
+#include <msgpack.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -14,7 +16,10 @@
 
 /// A target and what this instance has learned of it.
 struct Target {
+  /// Latest heartbeat; its phase also follows what the target says in its answers.
   TargetEntry entry;
+  /// Phase by the heartbeat alone.
+  TargetPhase heartbeat_phase = TargetPhase::kReady;
   TimePoint cold_until{};
   /// Set when the entry was removed while the store may have lost heartbeats; the target counts as
   /// gone from then on.
@@ -38,11 +43,28 @@
 /// Name of a change for logs.
 const char* NameOf(TargetChange change) noexcept;
 
+/// A target that said in an answer that it leaves.
+struct LeavingTarget {
+  std::string id;
+  std::uint64_t incarnation = 0;
+
+  friend auto operator<=>(const LeavingTarget&, const LeavingTarget&) = default;
+  MSGPACK_DEFINE_ARRAY(id, incarnation)
+};
+
 /// All targets by id.
 class TargetDirectory {
  public:
   /// Applies a heartbeat; older ones than the known one are ignored.
-  TargetChange Apply(const TargetEntry& entry, TimePoint now);
+  TargetChange Apply(const TargetEntry& heartbeat, TimePoint now);
+
+  /// Notes that a target has said that it leaves. It counts as draining from now on, whatever older
+  /// heartbeats say, also if its entry goes and comes back. Returns kNone if that was known.
+  TargetChange MarkLeaving(const LeavingTarget& target, TimePoint now);
+  /// Marked targets whose heartbeats do not say yet that they leave, for the other instances.
+  std::vector<LeavingTarget> LeavingTargets() const;
+  /// Forgets marks older than `retention` of targets whose entry has gone.
+  void ForgetLeaving(TimePoint now, Duration retention);
 
   /// Applies the removal of an entry. While `store_was_away`, targets that live may have lost their
   /// entries too and write them again; the target stays until `grace` has passed.
@@ -63,6 +85,8 @@
 
   std::map<std::string, Target> targets_;
   std::map<std::string, std::map<std::string, const Target*>> by_service_;
+  /// Time of the mark, by target.
+  std::map<LeavingTarget, TimePoint> leaving_;
   std::uint64_t version_ = 1;
 };
 
--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -44,6 +44,8 @@
   /// Part of a target's connections that the instances together may open; the rest is left for
   /// probes, for connections that are being closed and for instances that are not known yet.
   double connection_share = 0.85;
+  /// Memory for the bodies of answers that are being received, over all connections.
+  std::size_t answer_bytes = net::BodyBudget::kDefaultBytes;
   SelectorSettings selector;
 };
 
@@ -67,6 +69,9 @@
   Forwarder(const Forwarder&) = delete;
   Forwarder& operator=(const Forwarder&) = delete;
 
+  /// A target has said in an answer, for the first time, that it leaves.
+  std::function<void(const std::string& id)> on_target_leaving;
+
   /// Takes a request of a caller.
   void Handle(const net::ExchangePtr& exchange);
 
@@ -127,9 +132,11 @@
   /// Whether this instance's part of a target's connections has one for another request.
   bool HasConnection(const Target& target, const Service& service) const;
   void EndAttempt(Request& request, SendResult result);
-  /// Status for a request that found no target: one that may have run must not be called "not run",
-  /// unless it may be repeated.
-  static int StatusOfGivenUp(const Request& request);
+  /// Takes note of what an answer says of its target.
+  void Observe(const Request& request, const AnswerFields& answer);
+  /// Ends a request without an answer of a target. The status follows from what may have happened:
+  /// 503 promises that it has not run, 502 and 504 promise nothing.
+  void GiveUp(Request& request, Refusal refusal, Duration retry_after);
   void Refuse(Request& request, int status, Refusal refusal, Duration retry_after);
   void Finish(Request& request, net::HttpResponse response, const char* outcome);
   void OfferService(const std::string& service);
--- a/packages/fleet/include/dogwoodport/fleet/routing/target_health.h
+++ b/packages/fleet/include/dogwoodport/fleet/routing/target_health.h
@@ -29,6 +29,8 @@
   /// `latency` counts from the send.
   void OnResult(SendResult result, Duration latency, TimePoint now);
   void OnLoadReport(const LoadReport& report, TimePoint now);
+  /// The target wants no request from this instance until `until`.
+  void BackOff(TimePoint until) noexcept { back_off_until_ = std::max(back_off_until_, until); }
   /// Another incarnation has started.
   void OnRestart() noexcept;
 
@@ -47,6 +49,9 @@
   double shed_share() const noexcept { return sheds_; }
   /// Whether requests should go elsewhere at `now`.
   bool ejected(TimePoint now) const noexcept { return now < ejected_until_; }
+  /// Whether the target has asked for a pause that is not over at `now`.
+  bool backs_off(TimePoint now) const noexcept { return now < back_off_until_; }
+  TimePoint back_off_until() const noexcept { return back_off_until_; }
 
   /// Whether the target may have started again without a heartbeat that says so: it could not be
   /// reached, and has served for less than a cold start since. It may be cold.
@@ -72,6 +77,7 @@
   double sheds_ = 0;
   Duration latency_{0};
   TimePoint ejected_until_{};
+  TimePoint back_off_until_{};
   TimePoint recovered_at_{};
   LoadReport report_;
   TimePoint reported_at_{};
--- a/packages/fleet/include/dogwoodport/fleet/target_protocol.h
+++ b/packages/fleet/include/dogwoodport/fleet/target_protocol.h
@@ -51,6 +51,10 @@
   /// The target states that it did not run the request.
   bool not_run = false;
   bool has_signature = false;
+  /// The target is leaving and wants no further requests.
+  bool leaving = false;
+  /// The target has no room and wants no request from this instance for so long.
+  std::optional<Duration> back_off;
   std::optional<LoadReport> load;
 };
 
--- a/packages/fleet/src/membership/target_directory.cc
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -29,7 +29,10 @@
   return kChangeNames[static_cast<std::size_t>(change)];
 }
 
-TargetChange TargetDirectory::Apply(const TargetEntry& entry, TimePoint now) {
+TargetChange TargetDirectory::Apply(const TargetEntry& heartbeat, TimePoint now) {
+  TargetEntry entry = heartbeat;
+  // A heartbeat may have been on its way when the target said that it leaves.
+  if (leaving_.count({entry.id, entry.incarnation}) > 0) entry.phase = TargetPhase::kDraining;
   const auto [it, joined] = targets_.try_emplace(entry.id);
   Target& target = it->second;
   if (!joined && IsOlder(entry, target.entry)) return TargetChange::kNone;
@@ -47,11 +50,39 @@
     by_service_[target.entry.service].erase(entry.id);
   }
   target.entry = entry;
+  target.heartbeat_phase = heartbeat.phase;
   by_service_[entry.service][entry.id] = &target;
   if (change != TargetChange::kNone) ++version_;
   return change;
 }
 
+TargetChange TargetDirectory::MarkLeaving(const LeavingTarget& target, TimePoint now) {
+  if (!leaving_.try_emplace(target, now).second) return TargetChange::kNone;
+  const auto it = targets_.find(target.id);
+  const bool known = it != targets_.end() && it->second.entry.incarnation == target.incarnation;
+  if (!known || it->second.entry.phase == TargetPhase::kDraining) return TargetChange::kNone;
+  it->second.entry.phase = TargetPhase::kDraining;
+  ++version_;
+  return TargetChange::kLeaving;
+}
+
+std::vector<LeavingTarget> TargetDirectory::LeavingTargets() const {
+  std::vector<LeavingTarget> result;
+  for (const auto& [target, since] : leaving_) {
+    const auto it = targets_.find(target.id);
+    const bool known = it != targets_.end() && it->second.entry.incarnation == target.incarnation;
+    if (known && it->second.heartbeat_phase == TargetPhase::kReady) result.push_back(target);
+  }
+  return result;
+}
+
+void TargetDirectory::ForgetLeaving(TimePoint now, Duration retention) {
+  for (auto it = leaving_.begin(); it != leaving_.end();) {
+    const bool needed = now - it->second <= retention || targets_.count(it->first.id) > 0;
+    it = needed ? std::next(it) : leaving_.erase(it);
+  }
+}
+
 TargetChange TargetDirectory::Remove(const std::string& id, TimePoint now, bool store_was_away,
                                      Duration grace) {
   const auto it = targets_.find(id);
--- a/packages/fleet/src/requests/fleet_view.cc
+++ b/packages/fleet/src/requests/fleet_view.cc
@@ -12,7 +12,7 @@
   if (target.entry.phase != TargetPhase::kReady) return false;
   if (withdrawn.count(target.entry.data_centre) > 0) return false;
   const auto it = health.find(target.entry.id);
-  return it == health.end() || !it->second.ejected(now);
+  return it == health.end() || (!it->second.ejected(now) && !it->second.backs_off(now));
 }
 
 }  // namespace dogwoodport::fleet
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -34,11 +34,44 @@
 constexpr Duration kShortestAttempt{20'000};
 /// Time until a target that denied a key, or was full, is asked again for the same request.
 constexpr Duration kDeniedWait{120'000};
+/// Largest random part of a pause that a target asks for, so that instances do not return together.
+constexpr double kBackOffSpread = 0.1;
 /// Response statuses.
+constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
 
 bool IsSuccess(int status) noexcept { return status >= 200 && status < 300; }
 
+/// Whether callers take a status for the promise that the request has not run.
+bool PromisesNotRun(int status) noexcept {
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
+net::PoolLimits PoolLimitsFor(const ForwarderSettings& settings) {
+  net::PoolLimits limits;
+  limits.message.bodies = new net::BodyBudget(settings.answer_bytes);
+  return limits;
+}
+
+/// What a failed call says of its target.
+SendResult ResultOf(net::CallFailure failure) noexcept {
+  switch (failure) {
+    case net::CallFailure::kNotConnected:
+      return SendResult::kNotConnected;
+    case net::CallFailure::kStale:
+      return SendResult::kCancelled;
+    case net::CallFailure::kRejected:
+      return SendResult::kShed;
+    default:
+      return SendResult::kBroken;
+  }
+}
+
 }  // namespace
 
 const char* NameOf(Refusal refusal) noexcept {
@@ -52,7 +85,7 @@
       protocol_(protocol),
       log_(log),
       settings_(settings),
-      pool_(loop, net::PoolLimits{}),
+      pool_(loop, PoolLimitsFor(settings)),
       random_(seed) {}
 
 Forwarder::~Forwarder() = default;
@@ -191,8 +224,7 @@
   const QueueState queue{state.queue.Ahead(request.priority), state.completions.PerSecond(now())};
   const Duration useful = request.useful_until - now();
   if (const auto retry_after = DecideRefusal(queue, useful, Random())) {
-    Refuse(request, StatusOfGivenUp(request),
-           placement == Placement::kNoTarget ? Refusal::kNoTarget : Refusal::kOverloaded,
+    GiveUp(request, placement == Placement::kNoTarget ? Refusal::kNoTarget : Refusal::kOverloaded,
            *retry_after);
     return;
   }
@@ -211,15 +243,26 @@
 void Forwarder::Send(Request& request, const Target& target) {
   request.unlink();
   request.target_id = target.entry.id;
+  request.target_incarnation = target.entry.incarnation;
+  const bool sent_there_before = request.Tried(target.entry.id);
   request.tried.push_back(target.entry.id);
   ++request.sends;
   request.sent_at = now();
   view_.health[target.entry.id].OnSend();
   if (view_.IsCold(target, now())) view_.cold.Take(target.entry.id, now());
-  net::HttpRequest copy = request.exchange->request();
-  protocol_.PrepareRequest(copy, {request.due_at - now(), target.entry.id, request.account});
-  request.connection = pool_.Acquire(target.entry.address);
-  request.connection->Send(net::ToBytes(copy), copy.method == "HEAD", &request);
+  const net::HttpRequest& original = request.exchange->request();
+  net::HttpRequest head;
+  head.method = original.method;
+  head.target = original.target;
+  head.fields = original.fields;
+  head.has_body = original.has_body;
+  protocol_.PrepareRequest(head, {request.due_at - now(), target.entry.id, request.account});
+  // On the connection of the attempt before, a late copy of its answer would be taken for the
+  // answer to this one.
+  const bool separate = sent_there_before && !request.idempotent();
+  request.connection =
+      separate ? pool_.AcquireNew(target.entry.address) : pool_.Acquire(target.entry.address);
+  request.connection->Send(net::ToBytes(head, original.body), head.method == "HEAD", &request);
   TimePoint next = request.due_at;
   if (request.idempotent() && request.sends < request.route->attempts && !request.service->keyed) {
     const Duration usual = UsualLatency(request.service->name);
@@ -250,14 +293,33 @@
   loop_.Cancel(request.timer);
 }
 
+void Forwarder::Observe(const Request& request, const AnswerFields& answer) {
+  TargetHealth& health = view_.health[request.target_id];
+  if (answer.load) health.OnLoadReport(*answer.load, now());
+  if (answer.back_off) {
+    const Duration pause = FromSeconds(Seconds(*answer.back_off) * (1 + kBackOffSpread * Random()));
+    health.BackOff(now() + pause);
+    LogRequest(LogLevel::kInfo, "target_backs_off", request, {{"pause_ms", pause.count() / 1000}});
+  }
+  const Target* const target = view_.directory.Find(request.target_id);
+  if (!answer.leaving || target == nullptr) return;
+  const LeavingTarget leaving{request.target_id, request.target_incarnation};
+  if (view_.directory.MarkLeaving(leaving, now()) == TargetChange::kNone) return;
+  LogRequest(LogLevel::kInfo, "target_leaves", request,
+             {{"incarnation", request.target_incarnation}});
+  if (on_target_leaving) on_target_leaving(request.target_id);
+}
+
 void Forwarder::OnAnswer(Request& request, net::HttpResponse response) {
   const AnswerFields answer = protocol_.ReadAnswer(response);
-  if (answer.load) view_.health[request.target_id].OnLoadReport(*answer.load, now());
+  Observe(request, answer);
   if (answer.not_run || response.status == kMisdirected) {
     OnNotRun(request, response);
     return;
   }
-  if (IsSuccess(response.status) && !answer.has_signature) {
+  const bool unsigned_success = IsSuccess(response.status) && !answer.has_signature;
+  // The target may have run it, so its answer must not be passed on as a promise.
+  if (unsigned_success || PromisesNotRun(response.status)) {
     OnBroken(request, net::CallFailure::kMalformed);
     return;
   }
@@ -287,24 +349,20 @@
   request.denied_revision = view_.keys.revision;
   EndAttempt(request, misdirected ? SendResult::kCancelled : SendResult::kShed);
   if (!Repeat(request, true)) {
-    Refuse(request, StatusOfGivenUp(request), Refusal::kOverloaded, kDefaultRetry);
+    GiveUp(request, Refusal::kOverloaded, kDefaultRetry);
   }
 }
 
 void Forwarder::OnBroken(Request& request, net::CallFailure failure) {
-  const bool sent = failure == net::CallFailure::kBroken || failure == net::CallFailure::kMalformed;
+  const bool sent =
+      failure != net::CallFailure::kNotConnected && failure != net::CallFailure::kStale;
   if (sent) request.may_have_run = true;
   LogRequest(LogLevel::kWarning, "attempt_failed", request,
              {{"failure", net::NameOf(failure)}, {"may_have_run", sent}});
-  EndAttempt(request, failure == net::CallFailure::kNotConnected ? SendResult::kNotConnected
-                      : failure == net::CallFailure::kStale      ? SendResult::kCancelled
-                                                                 : SendResult::kBroken);
-  if (sent && !request.idempotent()) {
-    Refuse(request, 502, Refusal::kTargetFailed, Duration{0});
-    return;
-  }
-  if (!Repeat(request, sent)) {
-    Refuse(request, sent ? 502 : 503, Refusal::kTargetFailed, kDefaultRetry);
+  EndAttempt(request, ResultOf(failure));
+  const bool may_repeat = !sent || request.idempotent();
+  if (!may_repeat || !Repeat(request, sent)) {
+    GiveUp(request, Refusal::kTargetFailed, kDefaultRetry);
   }
 }
 
@@ -326,7 +384,7 @@
   if (request.ended) return;
   if (request.connection == nullptr) {
     const ServiceState& state = services_[request.service->name];
-    Refuse(request, StatusOfGivenUp(request), Refusal::kOverloaded,
+    GiveUp(request, Refusal::kOverloaded,
            RetryAfter({state.queue.Ahead(request.priority), 1.0}, Random()));
     return;
   }
@@ -351,7 +409,7 @@
     Send(request, *other);
     return;
   }
-  Refuse(request, request.may_have_run ? 504 : 503, Refusal::kTimedOut, kDefaultRetry);
+  GiveUp(request, Refusal::kTimedOut, kDefaultRetry);
   OfferService(request.service->name);
 }
 
@@ -372,8 +430,9 @@
   OfferService(request.service->name);
 }
 
-int Forwarder::StatusOfGivenUp(const Request& request) {
-  return request.may_have_run && !request.idempotent() ? 502 : 503;
+void Forwarder::GiveUp(Request& request, Refusal refusal, Duration retry_after) {
+  const int failed = refusal == Refusal::kTimedOut ? kGatewayTimeout : kBadGateway;
+  Refuse(request, request.may_have_run ? failed : kUnavailable, refusal, retry_after);
 }
 
 void Forwarder::Refuse(Request& request, int status, Refusal refusal, Duration retry_after) {
--- a/packages/fleet/src/requests/forwarder_request.h
+++ b/packages/fleet/src/requests/forwarder_request.h
@@ -63,6 +63,7 @@
   TimePoint hold_back_until{};
   std::uint64_t denied_revision = 0;
   std::string target_id;
+  std::uint64_t target_incarnation = 0;
   net::ClientConnectionPtr connection;
   TimePoint sent_at{};
   net::TimerId timer;
--- a/packages/fleet/src/routing/target_health.cc
+++ b/packages/fleet/src/routing/target_health.cc
@@ -80,6 +80,7 @@
   failures_ = 0;
   sheds_ = 0;
   ejected_until_ = TimePoint{};
+  back_off_until_ = TimePoint{};
   report_ = LoadReport{};
   reported_at_ = TimePoint{};
 }
--- a/packages/net/include/dogwoodport/net/connection_pool.h
+++ b/packages/net/include/dogwoodport/net/connection_pool.h
@@ -12,7 +12,7 @@
 
 /// Settings of a pool.
 struct PoolLimits {
-  MessageLimits message{64 * 1024, 64ULL * 1024 * 1024};
+  MessageLimits message{64 * 1024, 64ULL * 1024 * 1024, nullptr};
   /// Idle connections older than this are closed instead of reused; below the idle timeout of the
   /// targets, so that a request seldom meets a connection that is being closed.
   Duration idle_timeout{8'000'000};
@@ -29,6 +29,8 @@
   /// Returns an idle connection to `address`, the one used last, or a new one. The caller holds it
   /// until its call has ended; dropping it closes the connection.
   ClientConnectionPtr Acquire(const std::string& address);
+  /// Opens a new connection, although an idle one may exist.
+  ClientConnectionPtr AcquireNew(const std::string& address);
 
   /// Number of connections to `address`, idle or not.
   std::size_t Count(const std::string& address) const;
--- a/packages/net/include/dogwoodport/net/http_client.h
+++ b/packages/net/include/dogwoodport/net/http_client.h
@@ -18,6 +18,7 @@
   kStale,         ///< A kept connection was closed before any byte of the request had left.
   kBroken,        ///< The connection broke after bytes of the request may have left.
   kMalformed,     ///< The peer sent bytes that are no response, or not a whole one.
+  kRejected,      ///< A new connection was reset before any byte came back: the peer may be full.
 };
 
 /// Name of a failure for logs.
@@ -84,6 +85,9 @@
   std::string pending_;
   bool to_head_ = false;
   bool saw_foreign_response_ = false;
+  /// Responses of the present call that were not the awaited one.
+  int skipped_ = 0;
+  bool answered_any_ = false;
   std::uint64_t sent_before_call_ = 0;
   TimePoint idle_since_;
   Duration peer_idle_limit_{0};
@@ -93,5 +97,7 @@
 
 /// Serialises a request. Hop-by-hop fields of `request` are left out; its length is written anew.
 std::string ToBytes(const HttpRequest& request);
+/// The same with `body` in place of the request's own.
+std::string ToBytes(const HttpRequest& request, std::string_view body);
 
 }  // namespace dogwoodport::net
--- a/packages/net/include/dogwoodport/net/http_message.h
+++ b/packages/net/include/dogwoodport/net/http_message.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "dogwoodport/net/body_budget.h"
+
 namespace dogwoodport::net {
 
 /// One header field.
@@ -42,6 +44,8 @@
   std::string host;
   Fields fields;
   std::string body;
+  /// Memory that the body takes, if it is counted.
+  BodyLeasePtr lease;
   bool has_body = false;
   bool keep_alive = true;
 };
@@ -51,6 +55,8 @@
   int status = 0;
   Fields fields;
   std::string body;
+  /// Memory that the body takes, if it is counted.
+  BodyLeasePtr lease;
   /// False when the sender will not use the connection again.
   bool keep_alive = true;
 };
--- a/packages/net/include/dogwoodport/net/http_parser.h
+++ b/packages/net/include/dogwoodport/net/http_parser.h
@@ -17,6 +17,8 @@
 struct MessageLimits {
   std::uint32_t header_bytes = 16 * 1024;
   std::uint64_t body_bytes = 64ULL * 1024 * 1024;
+  /// Memory for the bodies of all messages together; not bounded if it is not set.
+  BodyBudgetPtr bodies;
 };
 
 /// Why a request cannot be read: the status to answer and a short text for people.
--- a/packages/net/include/dogwoodport/net/http_server.h
+++ b/packages/net/include/dogwoodport/net/http_server.h
@@ -73,6 +73,8 @@
   void AnswerFault(const RequestFault& fault);
   void WriteResponse(const Exchange& exchange, bool last);
   void Touch();
+  /// Longest time for what is missing of the request that is being read.
+  Duration ReadingTimeout() const;
   void ArmTimer();
   void OnTimer();
   void Remove();
@@ -97,6 +99,8 @@
   MessageLimits message;
   /// Longest time from the first byte of a request to the end of its header section.
   Duration header_timeout{3'000'000};
+  /// Longest time from the first byte of a request to the end of its body.
+  Duration body_timeout{30'000'000};
   /// Longest time without a request on an open connection.
   Duration idle_timeout{15'000'000};
   /// Requests of one connection that are worked on at once; later ones wait unread.
--- a/packages/net/src/connection_pool.cc
+++ b/packages/net/src/connection_pool.cc
@@ -38,6 +38,10 @@
     if (Usable(*connection)) return connection;
     connection->Abort();
   }
+  return AcquireNew(address);
+}
+
+ClientConnectionPtr ConnectionPool::AcquireNew(const std::string& address) {
   ++buckets_[address].count;
   ++opened_;
   ClientConnectionPtr connection(new ClientConnection(
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -7,8 +7,10 @@
 namespace dogwoodport::net {
 namespace {
 
-constexpr std::array<const char*, 4> kFailureNames = {"not_connected", "stale", "broken",
-                                                      "malformed"};
+constexpr std::array<const char*, 5> kFailureNames = {"not_connected", "stale", "broken",
+                                                      "malformed", "rejected"};
+/// Interim responses, and responses to other requests, after which a connection is given up.
+constexpr int kMostSkipped = 16;
 
 /// Reads the seconds of "timeout=N" in a Keep-Alive field; zero if there are none.
 Duration KeepAliveTimeout(const Fields& fields) {
@@ -28,9 +30,11 @@
   return kFailureNames[static_cast<std::size_t>(failure)];
 }
 
-std::string ToBytes(const HttpRequest& request) {
+std::string ToBytes(const HttpRequest& request) { return ToBytes(request, request.body); }
+
+std::string ToBytes(const HttpRequest& request, std::string_view body) {
   std::string out;
-  out.reserve(512 + request.body.size());
+  out.reserve(512 + body.size());
   out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
   const std::string* const connection = request.fields.Find("Connection");
   const std::string_view hop = connection == nullptr ? std::string_view() : *connection;
@@ -44,9 +48,9 @@
     out.append(field.name).append(": ").append(field.value).append("\r\n");
   }
   if (had_length || request.has_body) {
-    out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+    out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
   }
-  out.append("\r\n").append(request.body);
+  out.append("\r\n").append(body);
   return out;
 }
 
@@ -70,6 +74,7 @@
 void ClientConnection::Send(std::string_view bytes, bool to_head, CallHandler* handler) {
   handler_ = handler;
   to_head_ = to_head;
+  skipped_ = 0;
   parser_ = ResponseParser(limits_, to_head);
   sent_before_call_ = stream_->sent_bytes();
   if (stream_->connected()) {
@@ -121,12 +126,17 @@
       Fail(CallFailure::kBroken);
       return;
     }
+    if (++skipped_ > kMostSkipped) {
+      Fail(CallFailure::kMalformed);
+      return;
+    }
     parser_ = ResponseParser(limits_, to_head_);
   }
   if (parser_.failed()) Fail(CallFailure::kMalformed);
 }
 
 void ClientConnection::Finish(HttpResponse response) {
+  answered_any_ = true;
   CallHandler* const handler = std::exchange(handler_, nullptr);
   const Duration limit = KeepAliveTimeout(response.fields);
   if (limit > Duration{0}) peer_idle_limit_ = limit;
@@ -175,6 +185,11 @@
     Fail(CallFailure::kMalformed);
     return;
   }
+  const bool rejected = end == StreamEnd::kReset && !answered_any_ && !parser_.started();
+  if (rejected && any_sent()) {
+    Fail(CallFailure::kRejected);
+    return;
+  }
   Fail(any_sent() ? CallFailure::kBroken : CallFailure::kStale);
 }
 
--- a/packages/net/src/http_parser.cc
+++ b/packages/net/src/http_parser.cc
@@ -1,9 +1,9 @@
 #include "dogwoodport/net/http_parser.h"
 
+#include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
-#include <charconv>
 #include <utility>
 
 namespace dogwoodport::net {
@@ -33,10 +33,12 @@
     this->header_limit(limits.header_bytes);
     this->body_limit(limits.body_bytes);
     this->eager(true);
+    if (limits.bodies) lease = BodyLeasePtr(new BodyLease(limits.bodies));
   }
 
   Fields fields;
   std::string body;
+  BodyLeasePtr lease;
 
  protected:
   void on_field_impl(http::field /*id*/, BeastText name, BeastText value,
@@ -46,7 +48,16 @@
   void on_header_impl(error_code& /*ec*/) override {}
   void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
                          error_code& /*ec*/) override {}
-  std::size_t on_body_impl(BeastText data, error_code& /*ec*/) override {
+  std::size_t on_body_impl(BeastText data, error_code& ec) override {
+    const std::size_t size = body.size() + data.size();
+    if (size > body.capacity()) {
+      const std::size_t room = std::max(size, 2 * body.capacity());
+      if (lease && !lease->Grow(room)) {
+        ec = http::error::buffer_overflow;
+        return 0;
+      }
+      body.reserve(room);
+    }
     body.append(data.data(), data.size());
     return data.size();
   }
@@ -75,6 +86,7 @@
 RequestFault FaultOf(const error_code& ec) {
   if (ec == http::error::header_limit) return {431, "the header section is too large"};
   if (ec == http::error::body_limit) return {413, "the body is too large"};
+  if (ec == http::error::buffer_overflow) return {503, "there is no memory for the body now"};
   if (ec == http::error::bad_version) return {505, "the HTTP version is not supported"};
   return {400, "the request is malformed: " + ec.message()};
 }
@@ -179,6 +191,7 @@
 HttpRequest RequestParser::Take() {
   impl_->request.fields = std::move(impl_->fields);
   impl_->request.body = std::move(impl_->body);
+  impl_->request.lease = std::move(impl_->lease);
   return std::move(impl_->request);
 }
 
@@ -238,6 +251,7 @@
   response.keep_alive = impl_->keep_alive();
   response.fields = std::move(impl_->fields);
   response.body = std::move(impl_->body);
+  response.lease = std::move(impl_->lease);
   return response;
 }
 
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -157,11 +157,15 @@
   all.splice(all.end(), all, HttpServer::Connections::s_iterator_to(*this));
 }
 
+Duration ServerConnection::ReadingTimeout() const {
+  const ServerLimits& limits = server_->limits_;
+  return parser_.head_complete() ? limits.body_timeout : limits.header_timeout;
+}
+
 void ServerConnection::ArmTimer() {
   const ServerLimits& limits = server_->limits_;
-  const TimePoint due = reading_since_ && !parser_.head_complete()
-                            ? *reading_since_ + limits.header_timeout
-                            : last_activity_ + limits.idle_timeout;
+  const TimePoint due =
+      reading_since_ ? *reading_since_ + ReadingTimeout() : last_activity_ + limits.idle_timeout;
   server_->loop_.Cancel(timer_);
   timer_ = server_->loop_.RunAt(due, [this] {
     timer_ = TimerId{};
@@ -172,9 +176,9 @@
 void ServerConnection::OnTimer() {
   const boost::intrusive_ptr<ServerConnection> keep(this);
   const TimePoint now = server_->loop_.now();
-  if (reading_since_ && !parser_.head_complete() &&
-      now >= *reading_since_ + server_->limits_.header_timeout) {
-    AnswerFault({408, "the header section did not arrive in time"});
+  if (reading_since_ && now >= *reading_since_ + ReadingTimeout()) {
+    AnswerFault({408, parser_.head_complete() ? "the body did not arrive in time"
+                                              : "the header section did not arrive in time"});
     return;
   }
   if (exchanges_.empty() && now >= last_activity_ + server_->limits_.idle_timeout) {
--- /dev/null
+++ b/tests/fleet/forwarder_world.h
@@ -0,0 +1,221 @@
+#pragma once
+
+/// @file
+/// A forwarder between raw callers and scripted targets on loopback, with a protocol of its own, so
+/// that each answer of a target can be played byte by byte.
+
+#include <catch2/catch.hpp>
+#include <charconv>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dogwoodport/fleet/requests/forwarder.h"
+#include "fleet/fleet_fakes.h"
+#include "net/http_world.h"
+#include "net/scripted_target.h"
+
+namespace dogwoodport::fleet {
+
+/// Fields with plain names; everything that a test does not need is left out.
+class PlainProtocol : public TargetProtocol {
+ public:
+  CallerFields ReadCaller(const net::HttpRequest& request) const override {
+    CallerFields caller;
+    caller.request_id = Text(request.fields, "Id");
+    if (const auto ms = Number(request.fields, "Patience")) {
+      caller.patience = std::chrono::milliseconds(*ms);
+    }
+    if (const auto key = Number(request.fields, "Key")) {
+      caller.key = static_cast<std::uint16_t>(*key);
+    }
+    return caller;
+  }
+  void PrepareRequest(net::HttpRequest& request, const ForwardFields& fields) const override {
+    request.fields.Add("Target", fields.target_id);
+  }
+  AnswerFields ReadAnswer(const net::HttpResponse& response) const override {
+    AnswerFields answer;
+    answer.request_id = Text(response.fields, "Id");
+    answer.not_run = response.fields.Find("Not-Run") != nullptr;
+    answer.has_signature = response.fields.Find("Signed") != nullptr;
+    answer.leaving = response.fields.Find("Leaving") != nullptr;
+    if (const auto ms = Number(response.fields, "Back-Off")) {
+      answer.back_off = std::chrono::milliseconds(*ms);
+    }
+    return answer;
+  }
+  net::HttpResponse MakeAnswer(int status, const std::string& code, bool may_have_run,
+                               const std::string& request_id, Duration retry_after) const override {
+    net::HttpResponse response;
+    response.status = status;
+    response.fields.Add("Id", request_id);
+    response.fields.Add("Code", code);
+    response.fields.Add("Run", may_have_run ? "unknown" : "no");
+    if (retry_after > Duration{0}) response.fields.Add("Retry-After", "1");
+    return response;
+  }
+  net::HttpRequest MakeGrant(const TargetEntry& /*target*/, const Grant& /*grant*/) const override {
+    return {};
+  }
+  net::HttpRequest MakeRelease(const TargetEntry& /*target*/,
+                               const Grant& /*grant*/) const override {
+    return {};
+  }
+  std::string ReadHandover(const net::HttpResponse& /*response*/) const override { return ""; }
+  OperatorRecord ReadOperatorRecord(const std::string& /*key*/,
+                                    const std::string& /*value*/) const override {
+    return Unusable{"none is read"};
+  }
+  std::optional<std::string> WithdrawalKey(const std::string& /*key*/) const override {
+    return std::nullopt;
+  }
+  bool IsConfigKey(const std::string& /*key*/) const override { return false; }
+  TargetEntry ReadTarget(const std::string& /*id*/, const std::string& /*value*/) const override {
+    return {};
+  }
+
+ private:
+  static std::string Text(const net::Fields& fields, const char* name) {
+    const std::string* const value = fields.Find(name);
+    return value == nullptr ? std::string() : *value;
+  }
+  static std::optional<int> Number(const net::Fields& fields, const char* name) {
+    const std::string* const value = fields.Find(name);
+    if (value == nullptr) return std::nullopt;
+    int number = 0;
+    std::from_chars(value->data(), value->data() + value->size(), number);
+    return number;
+  }
+};
+
+/// The answer of a target to the request `id`; `fields` are further header lines.
+inline std::string TargetAnswer(const std::string& id, int status, const std::string& body,
+                                const std::string& fields = "Signed: 1\r\n") {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nId: " + id + "\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Reads a header field from the bytes of a message.
+inline std::string FieldOf(const std::string& message, const std::string& name) {
+  const std::size_t at = message.find("\r\n" + name + ": ");
+  if (at == std::string::npos) return "";
+  const std::size_t begin = at + name.size() + 4;
+  return message.substr(begin, message.find("\r\n", begin) - begin);
+}
+
+/// One forwarder with the routes /read/ (idempotent), /write/ (runs at most once), both to the
+/// service "plain", and /keyed/ (runs at most once) to the service "keyed".
+class ForwarderWorld {
+ public:
+  explicit ForwarderWorld(Duration timeout = std::chrono::seconds(20))
+      : view({}, {}),
+        forwarder(loop, view, protocol, log, ForwarderSettings{}, 1),
+        server(
+            loop, "127.0.0.1:0",
+            [this](const net::ExchangePtr& exchange) { forwarder.Handle(exchange); },
+            [](const net::RequestFault& fault) {
+              net::HttpResponse response;
+              response.status = fault.status;
+              return response;
+            }) {
+    view.data_centre = "east";
+    // Enough for each request to be repeated.
+    view.retry_budget.SetBound({10, 1'000, std::chrono::seconds(10)});
+    std::vector<Route> routes;
+    for (const char* name : {"read", "write", "keyed"}) {
+      Route route;
+      route.name = name;
+      route.host = "a";
+      route.path_prefix = std::string("/") + name + "/";
+      route.kind = route.name == "read" ? RequestKind::kIdempotent : RequestKind::kNonIdempotent;
+      route.timeout = route.latency_objective = timeout;
+      route.attempts = 3;
+      route.splits = {{route.name == "keyed" ? "keyed" : "plain", 1}};
+      routes.push_back(route);
+    }
+    std::vector<Service> services(2);
+    services[0].name = "plain";
+    services[1].name = "keyed";
+    services[1].keyed = true;
+    view.config = std::make_shared<RoutingConfig>(1, routes, services, std::vector<Account>(),
+                                                  CallerLimits{});
+    view.config_verified_at = loop.now() + std::chrono::hours(1);
+  }
+
+  /// Adds a target that answers by `script`; returns it.
+  net::ScriptedTarget& AddTarget(const std::string& id, net::ScriptedTarget::Script script,
+                                 const std::string& service = "plain") {
+    targets.push_back(std::make_unique<net::ScriptedTarget>(loop, std::move(script)));
+    TargetEntry entry;
+    entry.id = id;
+    entry.service = service;
+    entry.address = targets.back()->address();
+    entry.data_centre = "east";
+    entry.slots = 4;
+    entry.incarnation = entry.sequence = 1;
+    view.directory.Apply(entry, loop.now());
+    if (service == "keyed") {
+      KeyRange range;
+      range.first = 0;
+      range.last = kKeyCount - 1;
+      range.owner = id;
+      range.ready = true;
+      view.keys.services["keyed"] = {range};
+      ++view.keys.revision;
+    }
+    return *targets.back();
+  }
+
+  /// Sends one request on a connection of its own, without waiting for the answer.
+  net::RawClient& Send(const std::string& path, const std::string& id) {
+    clients.push_back(std::make_unique<net::RawClient>(loop, server.address()));
+    clients.back()->stream->Write("POST " + path + " HTTP/1.1\r\nHost: a\r\nKey: 7\r\nId: " + id +
+                                  "\r\nContent-Length: 0\r\n\r\n");
+    return *clients.back();
+  }
+
+  /// Sends a request and returns the answer as text; empty if the connection ended without one.
+  std::string Call(const std::string& path, const std::string& id) {
+    net::RawClient& client = Send(path, id);
+    REQUIRE(RunUntil([&] { return client.ended || IsWhole(client.received); }));
+    return client.received;
+  }
+
+  bool RunUntil(const std::function<bool()>& done) {
+    bool late = false;
+    net::TimerId limit = loop.RunAfter(std::chrono::seconds(30), [&] { late = true; });
+    if (!done()) {
+      loop.Run([&] {
+        if (late || done()) loop.Stop();
+      });
+    }
+    loop.Cancel(limit);
+    return done();
+  }
+  void RunFor(Duration span) {
+    loop.RunAfter(span, [this] { loop.Stop(); });
+    loop.Run();
+  }
+
+  static int StatusOf(const std::string& answer) {
+    return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
+  }
+  static bool IsWhole(const std::string& answer) {
+    const std::size_t head = answer.find("\r\n\r\n");
+    if (head == std::string::npos) return false;
+    const std::string length = FieldOf(answer, "Content-Length");
+    return answer.size() >= head + 4 + (length.empty() ? 0 : std::stoul(length));
+  }
+
+  net::EventLoop loop;
+  CountingLog log;
+  PlainProtocol protocol;
+  FleetView view;
+  Forwarder forwarder;
+  net::HttpServer server;
+  std::vector<std::unique_ptr<net::ScriptedTarget>> targets;
+  std::vector<std::unique_ptr<net::RawClient>> clients;
+};
+
+}  // namespace dogwoodport::fleet
--- a/tests/fleet/unit-routing.cpp
+++ b/tests/fleet/unit-routing.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 TimePoint At(int ms) { return TimePoint(Duration(1'000'000'000 + ms * 1'000)); }
 
@@ -188,6 +189,42 @@
   }
 }
 
+TEST_CASE("a target that said that it leaves is not used again in its incarnation", "[routing]") {
+  TargetDirectory directory;
+  const TimePoint now(seconds(100));
+  TargetEntry entry;
+  entry.id = "t";
+  entry.service = "s";
+  entry.incarnation = 7;
+  entry.sequence = 3;
+  const LeavingTarget mark{"t", 7};
+  const bool known_before = GENERATE(false, true);
+  if (known_before) directory.Apply(entry, now);
+  const TargetChange change = directory.MarkLeaving(mark, now);
+  CHECK(change == (known_before ? TargetChange::kLeaving : TargetChange::kNone));
+  CHECK(directory.MarkLeaving(mark, now) == TargetChange::kNone);
+  // Heartbeats that do not say so, and an entry that goes and comes back, change nothing.
+  ++entry.sequence;
+  directory.Apply(entry, now);
+  CHECK(directory.Find("t")->entry.phase == TargetPhase::kDraining);
+  CHECK(directory.LeavingTargets() == std::vector<LeavingTarget>{mark});
+  directory.Remove("t", now, false, Duration{0});
+  CHECK(directory.LeavingTargets().empty());
+  ++entry.sequence;
+  directory.ForgetLeaving(now + seconds(10), seconds(60));
+  directory.Apply(entry, now + seconds(10));
+  CHECK(directory.Find("t")->entry.phase == TargetPhase::kDraining);
+  // Once the heartbeats say it, the others need not be told.
+  entry.phase = TargetPhase::kDraining;
+  ++entry.sequence;
+  directory.Apply(entry, now + seconds(11));
+  CHECK(directory.LeavingTargets().empty());
+  entry.phase = TargetPhase::kReady;
+  ++entry.incarnation;
+  directory.Apply(entry, now + seconds(12));
+  CHECK(directory.Find("t")->entry.phase == TargetPhase::kReady);
+}
+
 TEST_CASE("targets are found by their service", "[routing]") {
   TargetDirectory directory;
   TargetEntry entry = Entry(1, 5);
--- /dev/null
+++ b/tests/net/scripted_target.h
@@ -0,0 +1,113 @@
+#pragma once
+
+/// @file
+/// A target whose answers a test writes byte by byte.
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dogwoodport/net/stream.h"
+
+namespace dogwoodport::net {
+
+/// What a target does once it has read a request.
+struct Reaction {
+  enum class End { kKeepOpen, kClose, kReset };
+
+  std::string bytes;
+  End end = End::kKeepOpen;
+  /// Sent again and again, as fast as they are taken, until the connection is closed.
+  std::string endless;
+  /// Time between the bytes of `endless`; zero sends them without a pause.
+  Duration pause{0};
+};
+
+/// Listens on loopback and plays a script.
+class ScriptedTarget : public Watcher {
+ public:
+  /// Called with each request's bytes and the number of its connection, from 0.
+  using Script = std::function<Reaction(const std::string& request, std::size_t connection)>;
+
+  ScriptedTarget(EventLoop& loop, Script script) : loop_(loop), script_(std::move(script)) {
+    socket_.bind(Poco::Net::SocketAddress("127.0.0.1:0"));
+    socket_.listen();
+    loop_.Watch(socket_, Poco::Net::PollSet::POLL_READ, this);
+  }
+  ~ScriptedTarget() override { loop_.Unwatch(socket_); }
+  ScriptedTarget(const ScriptedTarget&) = delete;
+  ScriptedTarget& operator=(const ScriptedTarget&) = delete;
+
+  std::string address() const { return socket_.address().toString(); }
+  void OnReadable() override {
+    connections_.push_back(std::make_unique<Connection>(*this, socket_.acceptConnection()));
+  }
+  void OnWritable() override {}
+  std::size_t connections() const { return connections_.size(); }
+  StreamEnd end(std::size_t i) const { return connections_[i]->how; }
+  bool ended(std::size_t i) const { return connections_[i]->ended; }
+  /// The requests that have arrived, in their order.
+  const std::vector<std::string>& requests() const { return requests_; }
+  /// Sends bytes on a connection at any time.
+  void Write(std::size_t i, const std::string& bytes) { connections_[i]->stream->Write(bytes); }
+
+ private:
+  /// Bytes that wait for the peer at most, so that an endless answer does not fill the memory.
+  static constexpr std::size_t kMostUnsent = 1UL << 20;
+
+  struct Connection : StreamHandler {
+    Connection(ScriptedTarget& owner, const Poco::Net::StreamSocket& socket)
+        : target(owner),
+          number(owner.connections_.size()),
+          stream(new Stream(owner.loop_, socket, this)) {}
+    ~Connection() override {
+      target.loop_.Cancel(timer);
+      stream->Close();
+    }
+    void OnInput() override {
+      const std::string request = std::move(stream->input());
+      stream->input().clear();
+      target.requests_.push_back(request);
+      const Reaction reaction = target.script_(request, number);
+      stream->Write(reaction.bytes);
+      if (!reaction.endless.empty()) Continue(reaction.endless, reaction.pause);
+      if (reaction.end == Reaction::End::kClose) stream->Close();
+      if (reaction.end == Reaction::End::kReset) stream->Reset();
+    }
+    void Continue(const std::string& bytes, Duration pause) {
+      if (ended) return;
+      if (stream->flushed()) {
+        do {
+          stream->Write(bytes);
+          sent += bytes.size();
+        } while (pause == Duration{0} && stream->flushed() && sent % kMostUnsent != 0);
+      }
+      timer = target.loop_.RunAfter(std::max(pause, Duration{1'000}), [this, bytes, pause] {
+        timer = TimerId{};
+        Continue(bytes, pause);
+      });
+    }
+    void OnEnd(StreamEnd stream_end) override {
+      ended = true;
+      how = stream_end;
+    }
+    ScriptedTarget& target;
+    std::size_t number;
+    StreamPtr stream;
+    TimerId timer;
+    std::size_t sent = 0;
+    bool ended = false;
+    StreamEnd how = StreamEnd::kClosed;
+  };
+
+  EventLoop& loop_;
+  Script script_;
+  Poco::Net::ServerSocket socket_;
+  std::vector<std::string> requests_;
+  std::vector<std::unique_ptr<Connection>> connections_;
+};
+
+}  // namespace dogwoodport::net
--- a/tests/net/unit-http_client.cpp
+++ b/tests/net/unit-http_client.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "net/http_world.h"
+#include "net/scripted_target.h"
 
 namespace dogwoodport::net {
 namespace {
@@ -20,52 +21,13 @@
   std::optional<CallFailure> failure;
 };
 
-/// A target that answers each connection's first bytes with fixed bytes.
-class ScriptedTarget : public Watcher {
- public:
-  ScriptedTarget(EventLoop& loop, std::string script, bool close_after)
-      : loop_(loop), script_(std::move(script)), close_after_(close_after) {
-    socket_.bind(Poco::Net::SocketAddress("127.0.0.1:0"));
-    socket_.listen();
-    loop_.Watch(socket_, Poco::Net::PollSet::POLL_READ, this);
-  }
-  ~ScriptedTarget() override { loop_.Unwatch(socket_); }
-
-  std::string address() const { return socket_.address().toString(); }
-  void OnReadable() override {
-    connections_.push_back(std::make_unique<Connection>(*this, socket_.acceptConnection()));
-  }
-  void OnWritable() override {}
-  std::size_t connections() const { return connections_.size(); }
-  StreamEnd end(std::size_t i) const { return connections_[i]->how; }
-  bool ended(std::size_t i) const { return connections_[i]->ended; }
-
- private:
-  struct Connection : StreamHandler {
-    Connection(ScriptedTarget& owner, const Poco::Net::StreamSocket& socket)
-        : target(owner), stream(new Stream(owner.loop_, socket, this)) {}
-    ~Connection() override { stream->Close(); }
-    void OnInput() override {
-      stream->input().clear();
-      stream->Write(target.script_);
-      if (target.close_after_) stream->Close();
-    }
-    void OnEnd(StreamEnd end) override {
-      ended = true;
-      how = end;
-    }
-    ScriptedTarget& target;
-    StreamPtr stream;
-    bool ended = false;
-    StreamEnd how = StreamEnd::kClosed;
+/// Answers each request with the same bytes.
+ScriptedTarget::Script Always(std::string bytes, bool close_after) {
+  const auto end = close_after ? Reaction::End::kClose : Reaction::End::kKeepOpen;
+  return [bytes = std::move(bytes), end](const std::string& /*request*/, std::size_t /*number*/) {
+    return Reaction{bytes, end, "", Duration{0}};
   };
-
-  EventLoop& loop_;
-  std::string script_;
-  bool close_after_;
-  Poco::Net::ServerSocket socket_;
-  std::vector<std::unique_ptr<Connection>> connections_;
-};
+}
 
 std::string Answer(const std::string& id, const std::string& body) {
   return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
@@ -108,7 +70,7 @@
   }));
   INFO(script.what);
   EventLoop loop;
-  ScriptedTarget target(loop, script.bytes, script.close_after);
+  ScriptedTarget target(loop, Always(script.bytes, script.close_after));
   ConnectionPool pool(loop, PoolLimits{});
   Outcome outcome;
   outcome.wanted_id = "1";
@@ -128,7 +90,7 @@
 
 TEST_CASE("a call that is given up is reset, so that it cannot arrive later", "[http_client]") {
   EventLoop loop;
-  ScriptedTarget target(loop, "", false);
+  ScriptedTarget target(loop, Always("", false));
   ConnectionPool pool(loop, PoolLimits{});
   Outcome outcome;
   const ClientConnectionPtr connection = pool.Acquire(target.address());
@@ -148,7 +110,7 @@
   EventLoop loop;
   std::string address;
   {
-    const ScriptedTarget target(loop, "", false);
+    const ScriptedTarget target(loop, Always("", false));
     address = target.address();
   }
   ConnectionPool pool(loop, PoolLimits{});
@@ -164,7 +126,7 @@
 
 TEST_CASE("connections are reused until they have been idle for too long", "[http_client]") {
   EventLoop loop;
-  ScriptedTarget target(loop, Answer("1", "ab"), false);
+  ScriptedTarget target(loop, Always(Answer("1", "ab"), false));
   PoolLimits limits;
   limits.idle_timeout = std::chrono::milliseconds(30);
   ConnectionPool pool(loop, limits);
--- a/tests/platform/unit-wire_protocol.cpp
+++ b/tests/platform/unit-wire_protocol.cpp
@@ -99,6 +99,36 @@
   CHECK_FALSE(WireProtocol().ReadAnswer(other).load);
 }
 
+struct TargetNotice {
+  int status;
+  std::vector<std::pair<std::string, std::string>> fields;
+  bool leaving;
+  std::optional<Duration> back_off;
+};
+
+TEST_CASE("an answer tells that its target leaves, or for how long it wants no more",
+          "[wire_protocol]") {
+  const auto it = GENERATE(values<TargetNotice>({
+      {200, {}, false, std::nullopt},
+      {200, {{"Server-Leaving", "1"}}, true, std::nullopt},
+      {503, {{"server-leaving", "1"}, {"Retry-After", "2"}}, true, milliseconds(2000)},
+      {503, {{"Retry-After", "0.5"}}, false, milliseconds(500)},
+      {503, {{"Retry-After", "0"}}, false, std::nullopt},
+      {503, {{"Retry-After", "-3"}}, false, std::nullopt},
+      {503, {{"Retry-After", "nan"}}, false, std::nullopt},
+      {503, {{"Retry-After", "Fri, 04 Dec 2026 09:00:00 GMT"}}, false, std::nullopt},
+      {503, {{"Retry-After", "99999999999"}}, false, std::chrono::seconds(60)},
+      {500, {{"Retry-After", "2"}}, false, std::nullopt},
+      {200, {{"Server-Leaving", "0"}}, false, std::nullopt},
+  }));
+  net::HttpResponse response;
+  response.status = it.status;
+  for (const auto& [name, value] : it.fields) response.fields.Add(name, value);
+  const fleet::AnswerFields answer = WireProtocol().ReadAnswer(response);
+  CHECK(answer.leaving == it.leaving);
+  CHECK(answer.back_off == it.back_off);
+}
+
 TEST_CASE("a refusal says whether the request ran and when to come back", "[wire_protocol]") {
   const net::HttpResponse refusal =
       WireProtocol().MakeAnswer(503, "overloaded", false, "r1", milliseconds(250));
