Pass on what the coordinator of a large fleet sends through relays in each data centre

Instances that heard nothing reported to all others every 4.9 s, took themselves for the first in line and took over: 43 generations in 20 s on one log, reachable instances between 0 and 3, so that accounts fell back to shares below one request and every instance read the store itself. Change: two relays a data centre pass on digests, tables and parts of feeds, dated anew for each receiver by the report that it sends its relays; what goes to many is paced to 0.4 of the link; without a coordinator a large fleet reports to its eight best equipped instances; the order of take-over counts those that were present in the latest digest; the registry holds data centre and processor share and is read again before the first take-over. A leaving target and its incarnation travel in reports and digests. Bodies get a sixth of the machine's memory. Ruled out: the store (4 ms an answer all the while), processor time (0.012 cores a machine).

--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -28,6 +28,8 @@
   std::uint64_t incarnation = 0;
   /// Part of a core that the process may use; the best equipped instances lead first.
   double processor_share = 1;
+  /// Memory that the process may use. A part of it bounds the bodies of requests, and of answers.
+  std::size_t memory_bytes = 160'000'000;
   /// Connections from callers.
   std::size_t caller_connections = 3'000;
   RetryBound retry_bound;
@@ -87,6 +89,8 @@
   void PushFeed(Feed feed, std::uint64_t from, std::uint64_t end, bool complete);
   void OnFeedPush(const FeedPush& push);
   void ForgetTarget(const std::string& id);
+  /// Takes note of targets that leave by the word of another instance.
+  void MarkLeaving(const std::vector<LeavingTarget>& targets);
 
   void Register();
   void ReadInstances();
@@ -94,7 +98,7 @@
   void PrepareReport(PeerReport& report, bool to_coordinator);
   void PrepareDigest(PeerDigest& digest);
   void OnDigest(const PeerDigest& digest, const Peer& sender);
-  /// Reports what was admitted before its turn, if that is much.
+  /// Reports what was admitted, or that a target leaves, before its turn.
   void HastenReports();
   void PrepareLoad(PeerLoad& load);
   void OnLoad(const PeerLoad& before, const PeerLoad& load);
@@ -140,9 +144,13 @@
   /// may be lost.
   std::map<Feed, std::vector<StoreRecord>> recent_changes_;
   std::map<Feed, std::uint64_t> last_push_from_;
+  /// A target has said that it leaves since the last report.
+  bool leaving_news_ = false;
   bool registered_ = false;
   /// The addresses of all instances have been read from the store since the start.
   bool registry_read_ = false;
+  /// They have been read again before the first take-over.
+  bool registry_confirmed_ = false;
   TimePoint started_at_;
   TimePoint leaderless_since_;
   TimePoint shares_at_{};
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -6,8 +6,11 @@
 
 #include <Poco/Net/DatagramSocket.h>
 
+#include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <msgpack.hpp>
 #include <set>
 #include <string>
@@ -15,6 +18,7 @@
 
 #include "dogwoodport/fleet/event_log.h"
 #include "dogwoodport/fleet/limits/account_exchange.h"
+#include "dogwoodport/fleet/membership/target_directory.h"
 #include "dogwoodport/fleet/ownership/key_load.h"
 #include "dogwoodport/fleet/state/metadata_store.h"
 #include "dogwoodport/net/event_loop.h"
@@ -46,10 +50,12 @@
   std::vector<AccountReport> accounts;
   /// Busiest keys by service; sent to the coordinator only.
   std::vector<std::pair<std::uint64_t, std::vector<BucketRate>>> key_load;
+  /// Targets that leave although their heartbeats do not say so yet.
+  std::vector<LeavingTarget> leaving_targets;
 
   MSGPACK_DEFINE_ARRAY(address, incarnation, number, stamp_us, data_centre, processor_share,
                        leading, leaving, store_age_ms, generation, revision, wants_table, urgent,
-                       accounts, key_load)
+                       accounts, key_load, leaving_targets)
 };
 
 /// Requests that an instance has in flight, by hash of the target. Sent more often than reports,
@@ -66,8 +72,10 @@
 struct PresentInstance {
   std::string address;
   std::string data_centre;
+  /// Processor share of its machine, in cores.
+  float processor_share = 0;
 
-  MSGPACK_DEFINE_ARRAY(address, data_centre)
+  MSGPACK_DEFINE_ARRAY(address, data_centre, processor_share)
 };
 
 /// What the coordinator knows of all instances. In a large fleet it stands in for the reports of
@@ -79,8 +87,13 @@
   std::vector<PresentInstance> present;
   /// Accounts over all these instances.
   std::vector<AccountReport> accounts;
+  /// The same as in the reports.
+  std::vector<LeavingTarget> leaving_targets;
+  /// Instances that pass on what the coordinator sends to their data centres. The instances of a
+  /// data centre report to its relays too, so that these can date what they pass on.
+  std::vector<std::string> relays;
 
-  MSGPACK_DEFINE_ARRAY(address, number, present, accounts)
+  MSGPACK_DEFINE_ARRAY(address, number, present, accounts, leaving_targets, relays)
 };
 
 /// What the coordinator has read from a feed of the store, for one other instance. It spares the
@@ -101,6 +114,7 @@
 
 /// Another instance.
 struct Peer {
+  /// Latest report. Data centre and processor share may come from the store or a digest.
   PeerReport report;
   PeerLoad load;
   TimePoint known_since{};
@@ -130,6 +144,15 @@
   /// Reports that the coordinator sends per second at most. Its reports come more often, because
   /// its silence starts a take-over.
   double most_coordinator_reports_per_s = 400;
+  /// Instances of each data centre that pass on what the coordinator of a large fleet sends. Two,
+  /// so that the loss of one delays nothing.
+  std::size_t relays_per_data_centre = 2;
+  /// Instances that the others of a large fleet report to while there is no coordinator: those that
+  /// take over first.
+  std::size_t candidates = 8;
+  /// Bytes that an instance sends to the others per second at most, so that a burst does not fill
+  /// its link, which drops datagrams then.
+  double most_bytes_per_s = 1'250'000;
   /// Silence of the coordinator, in its intervals, that starts a take-over.
   int coordinator_intervals = 4;
   /// An instance that has been silent for this long does not count as reachable.
@@ -159,6 +182,8 @@
   std::string address;
   std::string data_centre;
   std::uint64_t incarnation = 0;
+  /// Processor share of its machine, in cores.
+  float processor_share = 1;
 };
 
 class PeerExchange : public net::Watcher {
@@ -190,10 +215,10 @@
 
   /// Sends what was read from a feed to all reachable instances. `verified_at` is dated on each
   /// receiver's clock by its latest report, never later than it was.
-  void PushFeed(FeedPush push, TimePoint verified_at);
+  void PushFeed(const FeedPush& push, TimePoint verified_at);
 
-  /// Adds an instance from the directory of the store.
-  void AddPeer(const std::string& address);
+  /// Adds an instance from the directory of the store, or from a digest.
+  void AddPeer(const PresentInstance& instance);
   /// Sends a report to all that get one instead of waiting for the interval.
   void ReportNow(bool urgent = false);
   /// Sets whether this instance is the coordinator; a new one reports at once.
@@ -202,6 +227,13 @@
   bool IsLarge() const noexcept { return peers_.size() > settings_.most_neighbours; }
   /// Whether it is, and there is a coordinator.
   bool UsesDigests() const;
+  /// Number of the other instances that may be alive and take over from a coordinator before this
+  /// one: those with a larger processor share, or the same and a lower address. In a large fleet
+  /// only the candidates hear of each other while there is no coordinator, so that an instance that
+  /// was present in the latest digest counts. Complexity: linear.
+  std::size_t AheadForTakeOver() const;
+  /// Addresses of the relays, if this is the coordinator of a large fleet.
+  std::vector<std::string> ChooseRelays() const;
   /// Time between the reports of an instance.
   Duration ReportInterval(bool of_coordinator) const;
   /// Silence of a coordinator that allows others to take over, at least `shortest`.
@@ -233,21 +265,36 @@
 
  private:
   Duration Interval(Duration shortest, double most_per_s) const;
-  void Report(bool to_all, bool urgent);
+  /// Whom a report goes to.
+  enum class Audience { kAll, kCoordinator, kCandidates };
+  Audience ReportAudience() const;
+  void Report(Audience audience, bool urgent);
+  bool IsAhead(const std::string& address, const Peer& peer) const;
+  std::set<std::string> Candidates() const;
+  /// Sends to all other instances, in a large fleet through the relays.
+  void Broadcast(char kind, const std::string& body);
+  void Relay(const std::string& datagram);
+  void RelayFeed(const FeedPush& push);
+  void SendFeed(FeedPush push, TimePoint verified_at, const std::string& address, const Peer& peer);
+  bool IsRelay(const std::string& address) const {
+    return std::find(relays_.begin(), relays_.end(), address) != relays_.end();
+  }
+  /// Sends queued datagrams as far as the rate allows.
+  void Drain();
   /// Addresses that get this instance's loads: all, or the next ones of its data centre in the ring
   /// of the addresses. Complexity: linear.
   std::vector<std::string> Neighbours() const;
-  void ScheduleReport();
+  void ScheduleReport(Duration delay);
   void ScheduleLoad();
   void ScheduleDigest(Duration delay);
   void SendDigest();
   void ReceiveDigest(const PeerDigest& digest);
-  void SendToAll(char kind, const std::string& body);
   void SendLoad();
   void ReceiveLoad(PeerLoad load);
   void Receive(const char* data, std::size_t size);
   void ReceiveReport(PeerReport report);
   void SendTo(const std::string& address, char kind, const std::string& body);
+  void SendDatagram(const std::string& address, const std::string& datagram);
   void Forget();
 
   net::EventLoop& loop_;
@@ -256,6 +303,7 @@
   std::string address_;
   std::string data_centre_;
   std::uint64_t incarnation_;
+  float processor_share_;
   Poco::Net::DatagramSocket socket_;
   Peers peers_;
   /// Addresses of all instances that were ever known, those that were forgotten included.
@@ -263,6 +311,19 @@
   net::TimerId report_timer_;
   net::TimerId load_timer_;
   net::TimerId digest_timer_;
+  /// Datagrams that wait for their turn, oldest first. Only what goes to many waits.
+  struct Queued {
+    std::string address;
+    std::shared_ptr<const std::string> datagram;
+  };
+  std::deque<Queued> queue_;
+  net::TimerId queue_timer_;
+  TimePoint queue_at_{};
+  double sendable_bytes_ = 0;
+  /// Relays by the latest digest.
+  std::vector<std::string> relays_;
+  /// Arrival of the latest digest, or the time at which this instance ceased to be the coordinator.
+  TimePoint digest_at_{};
   TimePoint digest_sent_at_{};
   std::uint64_t digest_number_ = 0;
   std::uint64_t number_ = 0;
--- a/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
@@ -27,6 +27,8 @@
       : accounts(tolerance), retry_budget(retry_bound) {}
 
   std::string data_centre;
+  /// Name of this instance among all.
+  std::string instance;
   /// Known instances, this one included.
   std::size_t instances = 1;
 
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -29,9 +29,24 @@
 constexpr double kColdRatePart = 0.9;
 /// Part of the grace that is left for the end of the process.
 constexpr Duration kExitMargin{400'000};
+/// Time for which a target without an entry is remembered to leave; it may serve for many seconds.
+constexpr Duration kLeavingRetention{60'000'000};
 /// Age of the configuration above which callers are better served elsewhere.
 constexpr Duration kTooOldToServe{4'000'000};
 
+constexpr int kUnavailable = 503;
+/// When a caller should come back whose body found no memory.
+constexpr Duration kNoMemoryRetry{300'000};
+/// Part of the memory for the bodies of requests, and the same for those of answers. A request's
+/// body exists twice while it is sent to a target.
+constexpr std::size_t kBodiesPart = 6;
+
+ForwarderSettings ForwarderSettingsFor(const InstanceSettings& settings) {
+  ForwarderSettings result = settings.forwarder;
+  result.answer_bytes = settings.memory_bytes / kBodiesPart;
+  return result;
+}
+
 net::HttpResponse PlainAnswer(int status, std::string body) {
   net::HttpResponse response;
   response.status = status;
@@ -51,15 +66,18 @@
       log_(log),
       view_(settings_.retry_bound, settings_.account_tolerance),
       accounts_(view_.accounts),
-      forwarder_(loop, view_, protocol, log, settings_.forwarder, settings_.incarnation),
+      forwarder_(loop, view_, protocol, log, ForwarderSettingsFor(settings_),
+                 settings_.incarnation),
       callers_(
           loop, settings_.caller_address,
           [this](const net::ExchangePtr& exchange) { forwarder_.Handle(exchange); },
           [this](const net::RequestFault& fault) {
             log_.Write(LogLevel::kInfo, "request_unreadable",
                        {{"status", fault.status}, {"reason", fault.text}});
-            return protocol_.MakeAnswer(fault.status, NameOf(Refusal::kMalformed), false, "",
-                                        Duration{0});
+            const bool no_memory = fault.status == kUnavailable;
+            return protocol_.MakeAnswer(
+                fault.status, NameOf(no_memory ? Refusal::kOverloaded : Refusal::kMalformed), false,
+                "", no_memory ? kNoMemoryRetry : Duration{0});
           }),
       readiness_(
           loop, settings_.readiness_address,
@@ -73,7 +91,8 @@
           [](const net::RequestFault& fault) { return PlainAnswer(fault.status, fault.text); }),
       caller_(loop, net::PoolLimits{}),
       peers_(loop, log, settings_.peers,
-             {settings_.peer_address, settings_.data_centre, settings_.incarnation}),
+             {settings_.peer_address, settings_.data_centre, settings_.incarnation,
+              static_cast<float>(settings_.processor_share)}),
       coordinator_(MakePorts(), settings_.coordinator, settings_.peer_address),
       operators_(
           loop, store, log,
@@ -98,7 +117,13 @@
       started_at_(loop.now()),
       leaderless_since_(loop.now()) {
   view_.data_centre = settings_.data_centre;
+  view_.instance = settings_.peer_address;
   callers_.limits().connections = settings_.caller_connections;
+  callers_.limits().message.bodies = new net::BodyBudget(settings_.memory_bytes / kBodiesPart);
+  forwarder_.on_target_leaving = [this](const std::string& id) {
+    OnTargetChange(id, TargetChange::kLeaving);
+    leaving_news_ = true;
+  };
   peers_.on_prepare = [this](PeerReport& report, bool to_coordinator) {
     PrepareReport(report, to_coordinator);
   };
@@ -165,7 +190,6 @@
 void Instance::PrepareReport(PeerReport& report, bool to_coordinator) {
   const TimePoint now = loop_.now();
   report.wants_table = wants_table_;
-  report.processor_share = static_cast<float>(settings_.processor_share);
   report.leading = coordinator_.leading();
   report.leaving = stopping_;
   report.store_age_ms = static_cast<std::uint32_t>((now - operators_.verified_at()).count() / 1000);
@@ -174,6 +198,7 @@
   // The digests of the coordinator hold its own accounts too.
   if (coordinator_.leading() && peers_.UsesDigests()) return;
   report.accounts = accounts_.MakeReport(now);
+  report.leaving_targets = view_.directory.LeavingTargets();
   if (!to_coordinator) return;
   for (auto& [service, rates] : view_.key_load.Busiest(now, settings_.reported_buckets)) {
     report.key_load.emplace_back(HashOf(service), std::move(rates));
@@ -182,14 +207,16 @@
 
 void Instance::PrepareDigest(PeerDigest& digest) {
   digest.accounts = accounts_.MakeDigest(loop_.now());
+  digest.leaving_targets = view_.directory.LeavingTargets();
 }
 
 void Instance::OnDigest(const PeerDigest& digest, const Peer& sender) {
   accounts_.OnDigest({digest.address, sender.report.incarnation}, digest.accounts, loop_.now());
+  MarkLeaving(digest.leaving_targets);
 }
 
 void Instance::HastenReports() {
-  if (!view_.accounts.ReportIsUrgent()) return;
+  if (!view_.accounts.ReportIsUrgent() && !std::exchange(leaving_news_, false)) return;
   if (coordinator_.leading()) {
     peers_.HastenDigest();
   } else if (peers_.UsesDigests() || !peers_.IsLarge()) {
@@ -278,6 +305,7 @@
     const bool unused = view_.directory.Find(it->first) == nullptr && it->second.in_flight() == 0;
     it = unused ? view_.health.erase(it) : std::next(it);
   }
+  view_.directory.ForgetLeaving(loop_.now(), kLeavingRetention);
   forwarder_.Maintain();
   caller_.Maintain();
   LogStatus();
--- a/packages/fleet/src/instance_feeds.cc
+++ b/packages/fleet/src/instance_feeds.cc
@@ -130,6 +130,12 @@
   view_.cold.Forget(id);
 }
 
+void Instance::MarkLeaving(const std::vector<LeavingTarget>& targets) {
+  for (const LeavingTarget& it : targets) {
+    OnTargetChange(it.id, view_.directory.MarkLeaving(it, loop_.now()));
+  }
+}
+
 void Instance::PushFeed(Feed feed, std::uint64_t from, std::uint64_t end, bool complete) {
   std::vector<StoreRecord>& recent = recent_changes_[feed];
   // A complete read does not show what was removed, so the others have to read it themselves.
@@ -166,7 +172,8 @@
 void Instance::Register() {
   instances_at_ = loop_.now() + kInstancesInterval;
   const nlohmann::json record = {{"data_centre", settings_.data_centre},
-                                 {"incarnation", settings_.incarnation}};
+                                 {"incarnation", settings_.incarnation},
+                                 {"processor_share", settings_.processor_share}};
   store_.Append(Feed::kInstances, settings_.peer_address, record.dump(), std::nullopt,
                 [this](const AppendOutcome& outcome) {
                   registered_ = std::holds_alternative<Appended>(outcome);
@@ -181,7 +188,14 @@
     if (records == nullptr) return;
     registry_read_ = true;
     for (const StoreRecord& it : records->records) {
-      if (it.value) peers_.AddPeer(it.key);
+      if (!it.value) continue;
+      const nlohmann::json entry = nlohmann::json::parse(*it.value, nullptr, false);
+      if (!entry.is_object()) {
+        log_.Write(LogLevel::kWarning, "instance_entry_unusable", {{"instance", it.key}});
+        continue;
+      }
+      peers_.AddPeer(
+          {it.key, entry.value("data_centre", ""), entry.value("processor_share", 0.0F)});
     }
     peers_.ReportNow();
   });
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -21,8 +21,14 @@
 /// Time after the start, besides the interval of reports, before this instance tries to become the
 /// coordinator, so that it can hear the present one.
 constexpr Duration kQuietStart{450'000};
-/// Instances take over one after the other, in the order of their addresses.
+/// Instances take over one after the other, the best equipped first. Those behind the first ones
+/// follow closer on each other: they come to it only if all of the first are lost.
 constexpr Duration kTakeOverStep{150'000};
+constexpr Duration kLateTakeOverStep{25'000};
+constexpr std::size_t kFirstTakers = 16;
+/// Instances that read the table from the store while there is no coordinator; the others get it
+/// from the next one.
+constexpr std::size_t kTableReaders = 16;
 /// Time for which a new coordinator is left alone by the one that it replaced.
 constexpr Duration kAfterStepDown{4'000'000};
 /// Age of its knowledge of the store from which on a coordinator counts as cut off, and the age
@@ -30,11 +36,19 @@
 constexpr std::uint32_t kLostStoreMs = 3'500;
 constexpr Duration kReachedStore{2'000'000};
 
+/// Time without a coordinator after which an instance takes over that has `rank` others before it.
+Duration TakeOverDelay(std::size_t rank) {
+  const std::size_t first = std::min(rank + 1, kFirstTakers);
+  return kTakeOverStep * static_cast<Duration::rep>(first) +
+         kLateTakeOverStep * static_cast<Duration::rep>(rank + 1 - first);
+}
+
 }  // namespace
 
 void Instance::OnReport(const Peer& peer) {
   const PeerReport& report = peer.report;
   accounts_.OnReport({report.address, report.incarnation}, report.accounts, loop_.now());
+  MarkLeaving(report.leaving_targets);
   if (report.leading && coordinator_.leading() && report.generation > view_.keys.generation) {
     coordinator_.StepDown("another instance leads a newer generation");
     leaderless_since_ = loop_.now() + kAfterStepDown;
@@ -187,7 +201,6 @@
   if (coordinator_.leading() || coordinator_.taking_over() || stopping_) return;
   const Duration own_store_age = now - operators_.verified_at();
   const Duration silence = peers_.CoordinatorSilence(settings_.coordinator_silence);
-  std::size_t rank = 0;
   bool has_coordinator = false;
   const ReachableTest reachable = peers_.Reachable();
   for (const auto& [address, peer] : peers_.peers()) {
@@ -198,20 +211,24 @@
     if (report.leading && !report.leaving && !cut_off && now - peer.heard_at <= silence) {
       has_coordinator = true;
     }
-    const bool better =
-        std::pair(-report.processor_share, address) <
-        std::pair(-static_cast<float>(settings_.processor_share), settings_.peer_address);
-    if (!report.leaving && better) ++rank;
   }
   if (has_coordinator) {
     leaderless_since_ = std::max(leaderless_since_, now);
     return;
   }
-  if (!reading_table_ && now >= table_read_at_) ReadTableFromStore();
+  const std::size_t rank = peers_.AheadForTakeOver();
+  if (!reading_table_ && now >= table_read_at_ && rank < kTableReaders) ReadTableFromStore();
   const bool loaded = view_.config && targets_.loaded();
   const Duration quiet = kQuietStart + peers_.ReportInterval(false);
   if (!loaded || now - started_at_ < quiet) return;
-  if (now - leaderless_since_ < kTakeOverStep * static_cast<Duration::rep>(rank + 1)) return;
+  if (now - leaderless_since_ < TakeOverDelay(rank)) return;
+  if (!registry_confirmed_) {
+    // Instances that started at the same time may have registered after this one has read.
+    registry_confirmed_ = true;
+    leaderless_since_ = now;
+    ReadInstances();
+    return;
+  }
   leaderless_since_ = now + silence;
   coordinator_.TakeOver();
 }
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 
+#include "dogwoodport/fleet/detail/name_hash.h"
 #include "dogwoodport/fleet/detail/packing.h"
 #include "dogwoodport/net/net_error.h"
 
@@ -20,7 +21,23 @@
 constexpr char kTableChangeKind = 'c';
 constexpr char kFeedKind = 'f';
 constexpr char kDigestKind = 'd';
+/// A datagram for a relay: its body is the datagram that the relay passes on.
+constexpr char kRelayKind = 'y';
+/// The same for a part of a feed, which the relay dates anew for each receiver.
+constexpr char kRelayFeedKind = 'z';
 constexpr std::size_t kLargestDatagram = 65'000;
+/// Interval in which queued datagrams are sent.
+constexpr Duration kQueueInterval{2'000};
+/// Bytes that may be sent at once after a pause.
+constexpr double kBurstBytes = 64'000;
+/// Queued datagrams beyond which the oldest are dropped; newer ones replace what they say.
+constexpr std::size_t kMostQueued = 4'000;
+/// Time before the latest digest in which an instance must have been heard to count as alive then.
+constexpr Duration kPresentBefore{1'500'000};
+/// Time over which the instances of a large fleet spread their first reports to a new coordinator.
+constexpr Duration kFirstReports{400'000};
+/// Time after its discovery for which an instance that was never heard counts as alive.
+constexpr Duration kNewPeer{5'000'000};
 /// Datagrams read in one round.
 constexpr int kReadsPerRound = 64;
 
@@ -33,7 +50,8 @@
       settings_(settings),
       address_(identity.address),
       data_centre_(std::move(identity.data_centre)),
-      incarnation_(identity.incarnation) {
+      incarnation_(identity.incarnation),
+      processor_share_(identity.processor_share) {
   try {
     socket_.bind(Poco::Net::SocketAddress(address_), true);
     socket_.setBlocking(false);
@@ -41,7 +59,7 @@
     throw net::NetError("cannot bind " + address_ + ": " + e.displayText());
   }
   loop_.Watch(socket_, Poco::Net::PollSet::POLL_READ, this);
-  ScheduleReport();
+  ScheduleReport(ReportInterval(leading_));
   ScheduleLoad();
 }
 
@@ -49,6 +67,7 @@
   loop_.Cancel(report_timer_);
   loop_.Cancel(load_timer_);
   loop_.Cancel(digest_timer_);
+  loop_.Cancel(queue_timer_);
   loop_.Unwatch(socket_);
 }
 
@@ -60,7 +79,8 @@
   if (of_coordinator) {
     return Interval(settings_.report_interval, settings_.most_coordinator_reports_per_s);
   }
-  if (UsesDigests()) {
+  // In a large fleet only the coordinator, or the candidates while there is none, hear them.
+  if (IsLarge()) {
     return Interval(settings_.digest_interval, settings_.most_coordinator_reports_per_s);
   }
   return Interval(settings_.report_interval, settings_.most_reports_per_s);
@@ -97,10 +117,11 @@
 void PeerExchange::SetLeading(bool leading) {
   if (leading_ == leading) return;
   leading_ = leading;
+  digest_at_ = loop_.now();
   loop_.Cancel(report_timer_);
   loop_.Cancel(digest_timer_);
-  Report(true, false);
-  ScheduleReport();
+  Report(Audience::kAll, false);
+  ScheduleReport(ReportInterval(leading_));
   if (leading_) ScheduleDigest(settings_.digest_interval);
 }
 
@@ -108,7 +129,7 @@
   loop_.Cancel(digest_timer_);
   digest_timer_ = loop_.RunAfter(delay, [this] {
     SendDigest();
-    ScheduleDigest(Interval(settings_.digest_interval, settings_.most_coordinator_reports_per_s));
+    ScheduleDigest(settings_.digest_interval);
   });
 }
 
@@ -127,10 +148,28 @@
   const ReachableTest reachable = Reachable();
   for (const auto& [address, peer] : peers_) {
     if (!reachable(peer) || peer.report.leaving) continue;
-    digest.present.push_back({address, peer.report.data_centre});
+    digest.present.push_back({address, peer.report.data_centre, peer.report.processor_share});
   }
+  digest.relays = ChooseRelays();
+  relays_ = digest.relays;
   if (on_prepare_digest) on_prepare_digest(digest);
-  SendToAll(kDigestKind, Pack(digest));
+  Broadcast(kDigestKind, Pack(digest));
+}
+
+std::vector<std::string> PeerExchange::ChooseRelays() const {
+  const ReachableTest reachable = Reachable();
+  std::map<std::string, std::vector<std::pair<float, std::string>>> by_data_centre;
+  for (const auto& [address, peer] : peers_) {
+    if (!reachable(peer) || peer.report.leaving) continue;
+    by_data_centre[peer.report.data_centre].emplace_back(-peer.report.processor_share, address);
+  }
+  std::vector<std::string> result;
+  for (auto& [data_centre, members] : by_data_centre) {
+    std::sort(members.begin(), members.end());
+    const std::size_t n = std::min(members.size(), settings_.relays_per_data_centre);
+    for (std::size_t i = 0; i < n; ++i) result.push_back(members[i].second);
+  }
+  return result;
 }
 
 void PeerExchange::ReceiveDigest(const PeerDigest& digest) {
@@ -138,6 +177,8 @@
   if (sender == peers_.end() || !sender->second.report.leading) return;
   if (digest.number <= sender->second.digest_number) return;
   sender->second.digest_number = digest.number;
+  digest_at_ = loop_.now();
+  relays_ = digest.relays;
   // An instance that has stepped down may have told the new coordinator only.
   const std::uint64_t generation = sender->second.report.generation;
   for (auto& [address, peer] : peers_) {
@@ -145,19 +186,19 @@
   }
   for (const PresentInstance& it : digest.present) {
     if (it.address == address_) continue;
-    AddPeer(it.address);
+    AddPeer(it);
     Peer& peer = peers_[it.address];
-    peer.report.data_centre = it.data_centre;
     peer.heard = true;
     peer.heard_at = loop_.now();
   }
   if (on_digest) on_digest(digest, sender->second);
 }
 
-void PeerExchange::ScheduleReport() {
-  report_timer_ = loop_.RunAfter(ReportInterval(leading_), [this] {
+void PeerExchange::ScheduleReport(Duration delay) {
+  report_timer_ = loop_.RunAfter(delay, [this] {
+    report_timer_ = net::TimerId{};
     ReportNow();
-    ScheduleReport();
+    ScheduleReport(ReportInterval(leading_));
   });
 }
 
@@ -194,24 +235,61 @@
   it->second.load = std::move(load);
 }
 
-void PeerExchange::AddPeer(const std::string& address) {
-  if (address == address_) return;
-  ever_known_.insert(address);
-  const auto [it, added] = peers_.try_emplace(address);
+void PeerExchange::AddPeer(const PresentInstance& instance) {
+  if (instance.address == address_) return;
+  ever_known_.insert(instance.address);
+  const auto [it, added] = peers_.try_emplace(instance.address);
   if (added) it->second.known_since = loop_.now();
+  it->second.report.data_centre = instance.data_centre;
+  it->second.report.processor_share = instance.processor_share;
 }
 
 void PeerExchange::ReportNow(bool urgent) {
   Forget();
-  Report(leading_ || !UsesDigests(), urgent);
+  Report(ReportAudience(), urgent);
+}
+
+PeerExchange::Audience PeerExchange::ReportAudience() const {
+  if (leading_ || !IsLarge()) return Audience::kAll;
+  return UsesDigests() ? Audience::kCoordinator : Audience::kCandidates;
+}
+
+bool PeerExchange::IsAhead(const std::string& address, const Peer& peer) const {
+  return std::pair(-peer.report.processor_share, address) < std::pair(-processor_share_, address_);
+}
+
+std::size_t PeerExchange::AheadForTakeOver() const {
+  const TimePoint now = loop_.now();
+  const ReachableTest reachable = Reachable();
+  return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
+    const Peer& peer = it.second;
+    if (peer.report.leaving || !IsAhead(it.first, peer)) return false;
+    if (!IsLarge()) return reachable(peer);
+    return peer.heard ? peer.heard_at >= digest_at_ - kPresentBefore
+                      : now - peer.known_since < kNewPeer;
+  }));
+}
+
+std::set<std::string> PeerExchange::Candidates() const {
+  std::vector<std::pair<float, std::string>> ranked;
+  for (const auto& [address, peer] : peers_) {
+    if (!peer.report.leaving) ranked.emplace_back(-peer.report.processor_share, address);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::set<std::string> result;
+  for (std::size_t i = 0; i < ranked.size() && i < settings_.candidates; ++i) {
+    result.insert(ranked[i].second);
+  }
+  return result;
 }
 
-void PeerExchange::Report(bool to_all, bool urgent) {
+void PeerExchange::Report(Audience audience, bool urgent) {
   PeerReport report;
   report.address = address_;
   report.incarnation = incarnation_;
   report.number = ++number_;
   report.data_centre = data_centre_;
+  report.processor_share = processor_share_;
   report.stamp_us = loop_.now().time_since_epoch().count();
   report.urgent = urgent;
   PeerReport full = report;
@@ -219,35 +297,102 @@
   if (on_prepare) on_prepare(full, true);
   const std::string body = Pack(report);
   const std::string full_body = Pack(full);
+  const std::set<std::string> candidates =
+      audience == Audience::kCandidates ? Candidates() : std::set<std::string>();
   for (const auto& [address, peer] : peers_) {
     const bool to_coordinator = peer.report.leading;
-    if (to_all || to_coordinator) SendTo(address, kReportKind, to_coordinator ? full_body : body);
+    const bool to_relay = peer.report.data_centre == data_centre_ && IsRelay(address);
+    if (audience == Audience::kAll || to_coordinator || to_relay || candidates.count(address) > 0) {
+      SendTo(address, kReportKind, to_coordinator ? full_body : body);
+    }
   }
 }
 
-void PeerExchange::PushFeed(FeedPush push, TimePoint verified_at) {
+void PeerExchange::SendFeed(FeedPush push, TimePoint verified_at, const std::string& address,
+                            const Peer& peer) {
+  // The report that the receiver stamped arrived at `reported_at`, later than it was sent, so the
+  // date is not later than the true one.
+  push.verified_us = peer.report.stamp_us + (verified_at - peer.reported_at).count();
+  const bool relay = UsesDigests() && leading_ && IsRelay(address);
+  SendTo(address, relay ? kRelayFeedKind : kFeedKind, Pack(push));
+}
+
+void PeerExchange::PushFeed(const FeedPush& push, TimePoint verified_at) {
+  const ReachableTest reachable = Reachable();
+  for (const auto& [address, peer] : peers_) {
+    const bool direct = !UsesDigests() || IsRelay(address) || relays_.empty();
+    if (direct && reachable(peer) && peer.reported_at != TimePoint{}) {
+      SendFeed(push, verified_at, address, peer);
+    }
+  }
+}
+
+void PeerExchange::RelayFeed(const FeedPush& push) {
+  if (on_feed) on_feed(push);
   const ReachableTest reachable = Reachable();
+  const TimePoint verified_at{Duration(push.verified_us)};
   for (const auto& [address, peer] : peers_) {
-    if (!reachable(peer)) continue;
-    push.verified_us = peer.report.stamp_us + (verified_at - peer.heard_at).count();
-    SendTo(address, kFeedKind, Pack(push));
+    if (peer.report.data_centre != data_centre_ || IsRelay(address) || peer.report.leading)
+      continue;
+    if (reachable(peer) && peer.reported_at != TimePoint{}) {
+      SendFeed(push, verified_at, address, peer);
+    }
   }
 }
 
-void PeerExchange::SendTable(const std::string& bytes) { SendToAll(kTableKind, bytes); }
+void PeerExchange::SendTable(const std::string& bytes) { Broadcast(kTableKind, bytes); }
 
-void PeerExchange::SendTableChange(const std::string& bytes) { SendToAll(kTableChangeKind, bytes); }
+void PeerExchange::SendTableChange(const std::string& bytes) { Broadcast(kTableChangeKind, bytes); }
 
-void PeerExchange::SendToAll(char kind, const std::string& body) {
-  for (const auto& [address, peer] : peers_) SendTo(address, kind, body);
+void PeerExchange::Broadcast(char kind, const std::string& body) {
+  const auto datagram = std::make_shared<const std::string>(kind + body);
+  if (!UsesDigests() || relays_.empty()) {
+    for (const auto& [address, peer] : peers_) queue_.push_back({address, datagram});
+  } else {
+    const auto relayed = std::make_shared<const std::string>(kRelayKind + *datagram);
+    for (const std::string& address : relays_) queue_.push_back({address, relayed});
+  }
+  Drain();
+}
+
+void PeerExchange::Relay(const std::string& datagram) {
+  Receive(datagram.data(), datagram.size());
+  const auto shared = std::make_shared<const std::string>(datagram);
+  for (const auto& [address, peer] : peers_) {
+    const bool is_member = peer.report.data_centre == data_centre_ && !peer.report.leading;
+    if (is_member && !IsRelay(address)) queue_.push_back({address, shared});
+  }
+  Drain();
+}
+
+void PeerExchange::Drain() {
+  const TimePoint now = loop_.now();
+  sendable_bytes_ = std::min(
+      kBurstBytes, sendable_bytes_ + settings_.most_bytes_per_s * Seconds(now - queue_at_));
+  queue_at_ = now;
+  while (queue_.size() > kMostQueued) queue_.pop_front();
+  while (!queue_.empty() && sendable_bytes_ > 0) {
+    sendable_bytes_ -= static_cast<double>(queue_.front().datagram->size());
+    SendDatagram(queue_.front().address, *queue_.front().datagram);
+    queue_.pop_front();
+  }
+  if (queue_.empty() || queue_timer_) return;
+  queue_timer_ = loop_.RunAfter(kQueueInterval, [this] {
+    queue_timer_ = net::TimerId{};
+    Drain();
+  });
 }
 
 void PeerExchange::SendTable(const std::string& bytes, const std::string& address) {
-  SendTo(address, kTableKind, bytes);
+  queue_.push_back({address, std::make_shared<const std::string>(kTableKind + bytes)});
+  Drain();
 }
 
 void PeerExchange::SendTo(const std::string& address, char kind, const std::string& body) {
-  const std::string datagram = kind + body;
+  SendDatagram(address, kind + body);
+}
+
+void PeerExchange::SendDatagram(const std::string& address, const std::string& datagram) {
   try {
     const int n = socket_.sendTo(datagram.data(), static_cast<int>(datagram.size()),
                                  Poco::Net::SocketAddress(address));
@@ -276,6 +421,8 @@
     const std::string body(data + 1, size - 1);
     if (data[0] == kTableKind && on_table) on_table(body);
     if (data[0] == kTableChangeKind && on_table_change) on_table_change(body);
+    if (data[0] == kRelayKind) Relay(body);
+    if (data[0] == kRelayFeedKind) RelayFeed(Unpack<FeedPush>(body));
     if (data[0] == kDigestKind) ReceiveDigest(Unpack<PeerDigest>(body));
     if (data[0] == kFeedKind && on_feed) on_feed(Unpack<FeedPush>(body));
     if (data[0] == kReportKind) ReceiveReport(Unpack<PeerReport>(body));
@@ -287,7 +434,7 @@
 
 void PeerExchange::ReceiveReport(PeerReport report) {
   if (report.address == address_) return;
-  AddPeer(report.address);
+  AddPeer({report.address, report.data_centre, report.processor_share});
   Peer& peer = peers_[report.address];
   const bool older = peer.heard && std::pair(report.incarnation, report.number) <
                                        std::pair(peer.report.incarnation, peer.report.number);
@@ -295,10 +442,17 @@
   if (!Reachable()(peer)) {
     log_.Write(LogLevel::kInfo, "peer_reachable", {{"peer", report.address}});
   }
+  // A new coordinator can only speak for those that it has heard.
+  const bool new_coordinator = report.leading && !peer.report.leading && IsLarge();
   peer.report = std::move(report);
   peer.heard_at = peer.reported_at = loop_.now();
   peer.heard = true;
   if (on_report) on_report(peer);
+  if (new_coordinator && !leading_) {
+    loop_.Cancel(report_timer_);
+    const auto turn = static_cast<double>(detail::ShortHashOf(address_)) / 4'294'967'296.0;
+    ScheduleReport(FromSeconds(turn * Seconds(kFirstReports)));
+  }
 }
 
 void PeerExchange::Forget() {
