Take shares of accounts by demand that all know of, and record ends of moves soon

Change: in fleets above 100 instances the lowest demand of the last two spans of 0.75 s counts, and a fifth of the tolerance is used as rate instead of two fifths. Change: the wait is not begun anew, and the end of a move is recorded within 0.2 s instead of 1 s.

--- a/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
@@ -85,6 +85,8 @@
   bool ReportIsUrgent() const noexcept { return report_is_urgent_; }
 
   static constexpr Duration kPoolAge{800'000};
+  /// Longest time until the demand that an instance reports is part of what the others tell.
+  static constexpr Duration kShareSpan{750'000};
 
  private:
   struct Entry {
@@ -92,6 +94,10 @@
     double burst = 0;
     double others_demand = 0;
     AccountUse reported;
+    /// Lowest demand reported in the present span of `kShareSpan`, and in the one before.
+    double low_demand = 0;
+    double low_demand_before = 0;
+    TimePoint low_since{};
     std::uint32_t admitted = 0;
     RateMeter demand{Duration{2'000'000}};
     /// This instance's part of the rate.
@@ -100,6 +106,7 @@
     TimePoint pool_at{};
   };
 
+  bool IsLargeFleet() const noexcept;
   void Refresh(Entry& entry, TimePoint now) noexcept;
   /// Rate that all instances together aim at: that of the account and a part of the tolerance, so
   /// that errors of the shares refuse nobody who is within the rate.
--- a/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
@@ -48,6 +48,8 @@
   std::string id;
   std::uint64_t incarnation = 0;
 
+  // clang-tidy 14 takes the 0 that a defaulted comparison is compared with for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const LeavingTarget&, const LeavingTarget&) = default;
   MSGPACK_DEFINE_ARRAY(id, incarnation)
 };
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -225,7 +225,6 @@
   if (!registry_confirmed_) {
     // Instances that started at the same time may have registered after this one has read.
     registry_confirmed_ = true;
-    leaderless_since_ = now;
     ReadInstances();
     return;
   }
--- a/packages/fleet/src/limits/account_limiter.cc
+++ b/packages/fleet/src/limits/account_limiter.cc
@@ -17,6 +17,7 @@
 constexpr double kSmallestDebt = 8.0;
 /// Part of the tolerance that is used as rate. The rest covers what the others do not know yet.
 constexpr double kUsedTolerance = 0.4;
+constexpr double kUsedToleranceOfLarge = 0.2;
 /// Part of the burst below which the pool counts as low. The larger one holds for accounts whose
 /// tolerance is less than a request for every fifth instance: what the instances admit before they
 /// report is more than the tolerance covers then.
@@ -28,8 +29,9 @@
 constexpr double kUnreportedPart = 0.5;
 constexpr double kFewestUnreported = 1.0;
 constexpr double kEnoughUnreported = 3.0;
-/// Instances up to which each may admit the larger number.
-constexpr double kSmallFleet = 100;
+/// Instances above which reports pass the coordinator and relays, and what all instances admit
+/// before they report can exceed the tolerance of an account.
+constexpr std::size_t kSmallFleet = 100;
 /// Instances of which one may be silent, so that the pool counts as known.
 constexpr std::size_t kSilentFactor = 10;
 /// Demand below which an account is left out of the reports, in requests per second.
@@ -91,8 +93,12 @@
 
 void AccountLimiter::Refresh(Entry& entry, TimePoint now) noexcept {
   entry.bucket.Update(now);  // Tokens up to now accrue at the old share.
-  // The demand that the others know of: with a newer one the shares would add up to more than 1.
-  const double share = ShareOf(entry.reported.demand, entry.others_demand, reachable_, silent_);
+  // The demand that the others know of: with a newer one the shares would add up to more than 1. In
+  // a large fleet that takes so long that only the lowest one of the last reports is known to all.
+  const double own =
+      IsLargeFleet() ? std::min(entry.low_demand, entry.low_demand_before) : entry.reported.demand;
+  const double others = entry.others_demand + (entry.reported.demand - own);
+  const double share = ShareOf(own, others, reachable_, silent_);
   const double cap = std::max(kSmallestCap, kBucketPart * entry.burst * share);
   entry.bucket.Configure(TargetRate(entry) * share, cap);
   const double most = std::max(1.0, entry.burst);
@@ -103,8 +109,13 @@
   entry.pool_at = now;
 }
 
+bool AccountLimiter::IsLargeFleet() const noexcept {
+  return reachable_ + silent_ + 1 > kSmallFleet;
+}
+
 double AccountLimiter::TargetRate(const Entry& entry) const noexcept {
-  return entry.rate + kUsedTolerance * Tolerated(entry) / Seconds(tolerance_.window);
+  const double used = IsLargeFleet() ? kUsedToleranceOfLarge : kUsedTolerance;
+  return entry.rate + used * Tolerated(entry) / Seconds(tolerance_.window);
 }
 
 double AccountLimiter::Tolerated(const Entry& entry) const noexcept {
@@ -114,7 +125,7 @@
 
 double AccountLimiter::MostUnreported(const Entry& entry) const noexcept {
   const auto instances = static_cast<double>(reachable_ + silent_ + 1);
-  const double part = instances <= kSmallFleet ? kEnoughUnreported : Tolerated(entry) / instances;
+  const double part = IsLargeFleet() ? Tolerated(entry) / instances : kEnoughUnreported;
   return std::max(std::clamp(part, kFewestUnreported, kEnoughUnreported),
                   kUnreportedPart * entry.pool / instances);
 }
@@ -159,6 +170,12 @@
     const AccountUse use{name, entry.demand.PerSecond(now), entry.admitted};
     const bool changed = use.admitted != entry.reported.admitted;
     entry.reported = use;
+    if (now - entry.low_since >= kShareSpan) {
+      entry.low_demand_before = entry.low_demand;
+      entry.low_demand = use.demand;
+      entry.low_since = now;
+    }
+    entry.low_demand = std::min(entry.low_demand, use.demand);
     if (use.demand > kReportedDemand || changed) result.push_back(use);
   }
   return result;
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -335,8 +335,8 @@
   const ReachableTest reachable = Reachable();
   const TimePoint verified_at{Duration(push.verified_us)};
   for (const auto& [address, peer] : peers_) {
-    if (peer.report.data_centre != data_centre_ || IsRelay(address) || peer.report.leading)
-      continue;
+    const bool is_member = peer.report.data_centre == data_centre_ && !peer.report.leading;
+    if (!is_member || IsRelay(address)) continue;
     if (reachable(peer) && peer.reported_at != TimePoint{}) {
       SendFeed(push, verified_at, address, peer);
     }
--- a/packages/fleet/src/ownership/key_coordinator_moves.cc
+++ b/packages/fleet/src/ownership/key_coordinator_moves.cc
@@ -10,6 +10,8 @@
 
 /// Wait before a call that got no answer is repeated.
 constexpr Duration kRetryInterval{300'000};
+/// Longest time until the end of a move is recorded; moves that end within it share a record.
+constexpr Duration kFinishInterval{200'000};
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 
@@ -184,6 +186,8 @@
     // The range may have begun to move meanwhile.
     if (range.first != id.second || range.fencing_token != token || range.ready) continue;
     range.ready = true;
+    // The end of a move is recorded soon, or the next coordinator would wait for its holder again.
+    if (!range.previous.empty()) plan_at_ = std::min(plan_at_, ports_.now() + kFinishInterval);
     Publish();
   }
 }
--- a/packages/fleet/src/requests/forwarder_placement.cc
+++ b/packages/fleet/src/requests/forwarder_placement.cc
@@ -47,8 +47,8 @@
   std::vector<SubsetCandidate> candidates;
   for (const auto& [id, target] : view_.directory.OfService(service)) {
     const TargetEntry& entry = target->entry;
-    if (entry.phase != TargetPhase::kReady || view_.withdrawn.count(entry.data_centre) > 0)
-      continue;
+    const bool withdrawn = view_.withdrawn.count(entry.data_centre) > 0;
+    if (entry.phase != TargetPhase::kReady || withdrawn) continue;
     targets.push_back(target);
     candidates.push_back({id, entry.data_centre == view_.data_centre});
   }
@@ -64,6 +64,7 @@
   const auto& all = view_.directory.OfService(request.service->name);
   if (placement == Placement::kFound || subset.size() == all.size()) return placement;
   std::vector<const Target*> others;
+  others.reserve(all.size());
   for (const auto& [id, it] : all) others.push_back(it);
   const Placement elsewhere = PlaceAmong(request, others, target);
   return elsewhere == Placement::kNoTarget ? placement : elsewhere;
--- a/packages/net/include/dogwoodport/net/connection_pool.h
+++ b/packages/net/include/dogwoodport/net/connection_pool.h
@@ -4,6 +4,7 @@
 /// Kept connections to the targets, reused for later requests.
 
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "dogwoodport/net/http_client.h"
@@ -21,7 +22,7 @@
 /// Connections by address. Not a limit: the caller decides how many it opens.
 class ConnectionPool {
  public:
-  ConnectionPool(EventLoop& loop, PoolLimits limits) : loop_(loop), limits_(limits) {}
+  ConnectionPool(EventLoop& loop, PoolLimits limits) : loop_(loop), limits_(std::move(limits)) {}
   ~ConnectionPool();
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
--- a/packages/net/include/dogwoodport/net/http_caller.h
+++ b/packages/net/include/dogwoodport/net/http_caller.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <optional>
+#include <utility>
 
 #include "dogwoodport/net/connection_pool.h"
 
@@ -15,7 +16,7 @@
   /// Receives the response, or nothing if there was none in time. Never called inside of `Call`.
   using Callback = std::function<void(std::optional<HttpResponse>)>;
 
-  HttpCaller(EventLoop& loop, PoolLimits limits) : loop_(loop), pool_(loop, limits) {}
+  HttpCaller(EventLoop& loop, PoolLimits limits) : loop_(loop), pool_(loop, std::move(limits)) {}
 
   void Call(const std::string& address, const HttpRequest& request, Duration timeout,
             Callback done);
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -59,10 +59,10 @@
                                    std::function<void(ClientConnection*)> on_gone)
     : loop_(loop),
       address_(std::move(address)),
-      limits_(limits),
+      limits_(std::move(limits)),
       on_idle_(std::move(on_idle)),
       on_gone_(std::move(on_gone)),
-      parser_(limits, false),
+      parser_(limits_, false),
       idle_since_(loop.now()) {}
 
 ClientConnection::~ClientConnection() {
--- a/tests/fleet/unit-feed_reader.cpp
+++ b/tests/fleet/unit-feed_reader.cpp
@@ -56,6 +56,22 @@
   CHECK(world.reader.verified_at() >= written_at);
 }
 
+TEST_CASE("an extra pause spares the store, except for the reader that others rely on",
+          "[feed_reader]") {
+  const bool relied_on = GENERATE(false, true);
+  World world(Settings());
+  world.reader.SetAlwaysReads(relied_on);
+  world.reader.SetExtraPause(std::chrono::hours(1));
+  world.reader.Start();
+  REQUIRE(world.RunUntil([&] { return world.completes == 1; }));
+  if (relied_on) {
+    CHECK(world.RunUntil([&] { return world.store.calls() >= 5; }));
+  } else {
+    world.Run(100);
+    CHECK(world.store.calls() == 1);
+  }
+}
+
 TEST_CASE("a trimmed feed is read anew", "[feed_reader]") {
   World world(Settings());
   world.store.Put(Feed::kTargets, "a", "1");
