Log a fingerprint of requests whose attempts fail, and count such attempts

Cause: the lines of failed attempts named the request id, which changes with each attempt of the caller, so the hypotheses of the open incident could not be told apart in the logs. Change: attempt_failed carries a hash of method, host, path, body and account; dogwood_lost_attempts_total counts sends without a usable answer.

--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -59,6 +59,8 @@
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;
   std::uint64_t retries = 0;
+  /// Sends whose connection broke, or that got no usable answer.
+  std::uint64_t lost_attempts = 0;
   std::uint64_t abandoned = 0;
   std::array<std::uint64_t, 11> refusals{};
 };
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -353,6 +353,7 @@
   line("requests_total", counters.requests);
   line("answers_total", counters.answered);
   line("retries_total", counters.retries);
+  line("lost_attempts_total", counters.lost_attempts);
   line("abandoned_total", counters.abandoned);
   for (std::size_t i = 0; i < counters.refusals.size(); ++i) {
     line(std::string("refusals_total{reason=\"") + NameOf(static_cast<Refusal>(i)) + "\"}",
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -356,9 +356,14 @@
 void Forwarder::OnBroken(Request& request, net::CallFailure failure) {
   const bool sent =
       failure != net::CallFailure::kNotConnected && failure != net::CallFailure::kStale;
-  if (sent) request.may_have_run = true;
+  if (sent) {
+    request.may_have_run = true;
+    ++counters_.lost_attempts;
+  }
   LogRequest(LogLevel::kWarning, "attempt_failed", request,
-             {{"failure", net::NameOf(failure)}, {"may_have_run", sent}});
+             {{"failure", net::NameOf(failure)},
+              {"may_have_run", sent},
+              {"fingerprint", ToText(request.fingerprint())}});
   EndAttempt(request, ResultOf(failure));
   const bool may_repeat = !sent || request.idempotent();
   if (!may_repeat || !Repeat(request, sent)) {
--- a/packages/fleet/src/requests/forwarder_request.h
+++ b/packages/fleet/src/requests/forwarder_request.h
@@ -4,11 +4,13 @@
 /// State of one request in the forwarder; private to its sources.
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "dogwoodport/fleet/requests/forwarder.h"
+#include "dogwoodport/fleet/requests/request_fingerprint.h"
 
 namespace dogwoodport::fleet {
 
@@ -40,6 +42,11 @@
   }
 
   bool idempotent() const noexcept { return route->kind == RequestKind::kIdempotent; }
+  /// The body is hashed at the first call only.
+  Fingerprint fingerprint() const {
+    if (!fingerprint_) fingerprint_ = FingerprintOf(exchange->request(), account);
+    return *fingerprint_;
+  }
   bool Tried(const std::string& id) const {
     return std::find(tried.begin(), tried.end(), id) != tried.end();
   }
@@ -68,6 +75,9 @@
   TimePoint sent_at{};
   net::TimerId timer;
   bool ended = false;
+
+ private:
+  mutable std::optional<Fingerprint> fingerprint_;
 };
 
 }  // namespace dogwoodport::fleet
--- a/tests/fleet/fleet_fakes.h
+++ b/tests/fleet/fleet_fakes.h
@@ -10,16 +10,17 @@
 
 namespace dogwoodport::fleet {
 
-/// Counts the lines by event.
+/// Counts the lines by event, and keeps the last one of each.
 class CountingLog : public EventLog {
  public:
-  void Write(LogLevel /*level*/, std::string_view event,
-             const nlohmann::json& /*fields*/) override {
+  void Write(LogLevel /*level*/, std::string_view event, const nlohmann::json& fields) override {
     ++events[std::string(event)];
+    last[std::string(event)] = fields;
   }
   bool Wants(LogLevel /*level*/) override { return true; }
 
   std::map<std::string, int> events;
+  std::map<std::string, nlohmann::json> last;
 };
 
 /// A store in memory whose answers the test can withhold.
