--- /dev/null
+++ b/tests/fleet/unit-retry_budget.cpp
@@ -0,0 +1,123 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+#include <vector>
+
+#include "dogwoodport/fleet/limits/retry_budget.h"
+
+namespace dogwoodport::fleet {
+namespace {
+
+constexpr Duration kStep{10'000};
+
+/// What happens to the instances besides the load.
+enum class Trouble { kNone, kRestarts, kAllRestart, kForgetsOthers };
+
+struct Load {
+  const char* what;
+  Trouble trouble;
+  std::size_t instances;
+  /// Requests per second over all instances; bursts have ten times as many.
+  double rate;
+  bool bursts;
+};
+
+std::size_t CountIn(const std::vector<TimePoint>& times, TimePoint from, TimePoint to) {
+  return static_cast<std::size_t>(std::lower_bound(times.begin(), times.end(), to) -
+                                  std::lower_bound(times.begin(), times.end(), from));
+}
+
+/// Instances on which each request asks to be sent four times more.
+class RetryFleet {
+ public:
+  RetryFleet(const Load& load, unsigned seed) : load_(load), random_(seed) {
+    for (std::size_t i = 0; i < load.instances; ++i) Start(i);
+  }
+
+  void Run(Duration span) {
+    const TimePoint end = now_ + span;
+    for (; now_ < end; now_ += kStep) {
+      Disturb();
+      const bool burst = load_.bursts && now_.time_since_epoch().count() / 3'000'000 % 2 == 1;
+      std::poisson_distribution<int> arrivals(load_.rate * (burst ? 10 : 1) * Seconds(kStep));
+      const int n = arrivals(random_);
+      for (int i = 0; i < n; ++i) Serve(budgets_[Pick(budgets_.size())]);
+    }
+  }
+
+  /// Most sends beyond the first in a window, relative to what the operators allow.
+  double WorstUse() const {
+    const Duration window = bound_.window;
+    double worst = 0;
+    for (const TimePoint begin : repeats_) {
+      const auto requests = std::max({CountIn(requests_, begin, begin + window),
+                                      CountIn(requests_, begin - window, begin),
+                                      CountIn(requests_, begin - window / 2, begin + window / 2)});
+      const auto repeats = static_cast<double>(CountIn(repeats_, begin, begin + window));
+      worst =
+          std::max(worst, repeats / (bound_.ratio * static_cast<double>(requests) + bound_.extra));
+    }
+    return worst;
+  }
+  std::size_t repeats() const { return repeats_.size(); }
+
+ private:
+  struct Budget {
+    RetryBudget budget;
+    TimePoint knows_others_at{};
+  };
+
+  std::size_t Pick(std::size_t n) {
+    return std::uniform_int_distribution<std::size_t>(0, n - 1)(random_);
+  }
+  void Start(std::size_t i) {
+    budgets_.resize(std::max(budgets_.size(), i + 1), {RetryBudget(bound_), {}});
+    budgets_[i] = {RetryBudget(bound_), now_ + Duration{500'000}};
+  }
+  void Disturb() {
+    for (Budget& it : budgets_) {
+      const bool knows = now_ >= it.knows_others_at;
+      const std::size_t side = load_.trouble == Trouble::kForgetsOthers ? 2 : 1;
+      it.budget.SetInstances(knows ? load_.instances / side : 1);
+    }
+    if (load_.trouble == Trouble::kRestarts && Pick(100) == 0) Start(Pick(budgets_.size()));
+    if (load_.trouble == Trouble::kAllRestart && Pick(400) == 0) {
+      for (std::size_t i = 0; i < budgets_.size(); ++i) Start(i);
+    }
+  }
+  void Serve(Budget& budget) {
+    requests_.push_back(now_);
+    budget.budget.OnRequest("s", now_);
+    for (int i = 0; i < 4; ++i) {
+      if (budget.budget.Take("s", now_)) repeats_.push_back(now_);
+    }
+  }
+
+  Load load_;
+  RetryBound bound_;
+  std::mt19937 random_;
+  TimePoint now_{Duration{60'000'000}};
+  std::vector<Budget> budgets_;
+  std::vector<TimePoint> requests_;
+  std::vector<TimePoint> repeats_;
+};
+
+TEST_CASE("repetitions of all instances stay within the operators' bound", "[retry_budget]") {
+  const auto load = GENERATE(values<Load>({
+      {"steady", Trouble::kNone, 10, 100, false},
+      {"bursts", Trouble::kNone, 10, 30, true},
+      {"many instances", Trouble::kNone, 79, 300, true},
+      {"instances restart", Trouble::kRestarts, 10, 100, true},
+      {"all instances restart", Trouble::kAllRestart, 10, 100, true},
+      {"two halves have forgotten each other", Trouble::kForgetsOthers, 10, 100, true},
+  }));
+  const auto seed = GENERATE(range(1U, 6U));
+  INFO(load.what << ", seed " << seed);
+  RetryFleet fleet(load, seed);
+  fleet.Run(std::chrono::seconds(60));
+  CHECK(fleet.repeats() > 100);
+  CHECK(fleet.WorstUse() <= 1.0);
+}
+
+}  // namespace
+}  // namespace dogwoodport::fleet
