Split admission and relays into files of their own, and share what stood twice

One decision changes: news of a leaving target is no longer kept for a second hastened report when an account has hastened the first.

--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -95,7 +95,7 @@
   void Register();
   void ReadInstances();
 
-  void PrepareReport(PeerReport& report, bool to_coordinator);
+  void PrepareReport(PeerReport& report);
   void PrepareDigest(PeerDigest& digest);
   void OnDigest(const PeerDigest& digest, const Peer& sender);
   /// Reports what was admitted, or that a target leaves, before its turn.
--- a/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
@@ -106,6 +106,8 @@
     TimePoint pool_at{};
   };
 
+  /// Known instances, this one included.
+  double Instances() const noexcept;
   bool IsLargeFleet() const noexcept;
   void Refresh(Entry& entry, TimePoint now) noexcept;
   /// Rate that all instances together aim at: that of the account and a part of the tolerance, so
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -18,6 +18,7 @@
 
 #include "dogwoodport/fleet/event_log.h"
 #include "dogwoodport/fleet/limits/account_exchange.h"
+#include "dogwoodport/fleet/limits/token_bucket.h"
 #include "dogwoodport/fleet/membership/target_directory.h"
 #include "dogwoodport/fleet/ownership/key_load.h"
 #include "dogwoodport/fleet/state/metadata_store.h"
@@ -153,6 +154,8 @@
   /// Bytes that an instance sends to the others per second at most, so that a burst does not fill
   /// its link, which drops datagrams then.
   double most_bytes_per_s = 1'250'000;
+  /// Bytes that may be sent at once after a pause.
+  double burst_bytes = 64'000;
   /// Silence of the coordinator, in its intervals, that starts a take-over.
   int coordinator_intervals = 4;
   /// An instance that has been silent for this long does not count as reachable.
@@ -194,8 +197,8 @@
   PeerExchange(const PeerExchange&) = delete;
   PeerExchange& operator=(const PeerExchange&) = delete;
 
-  /// Fills in a report before it is sent.
-  std::function<void(PeerReport&, bool to_coordinator)> on_prepare;
+  /// Fills in a report before it is sent. Only the coordinator gets its load of keys.
+  std::function<void(PeerReport&)> on_prepare;
   /// A report has arrived.
   std::function<void(const Peer&)> on_report;
   /// Fills in a load before it is sent.
@@ -215,7 +218,7 @@
 
   /// Sends what was read from a feed to all reachable instances. `verified_at` is dated on each
   /// receiver's clock by its latest report, never later than it was.
-  void PushFeed(const FeedPush& push, TimePoint verified_at);
+  void PushFeed(FeedPush push, TimePoint verified_at);
 
   /// Adds an instance from the directory of the store, or from a digest.
   void AddPeer(const PresentInstance& instance);
@@ -274,8 +277,12 @@
   /// Sends to all other instances, in a large fleet through the relays.
   void Broadcast(char kind, const std::string& body);
   void Relay(const std::string& datagram);
-  void RelayFeed(const FeedPush& push);
-  void SendFeed(FeedPush push, TimePoint verified_at, const std::string& address, const Peer& peer);
+  void RelayFeed(FeedPush push);
+  /// Sends a part of a feed, dated for each receiver, to those that `receives` chooses.
+  template <typename Receives>
+  void SendFeed(FeedPush& push, TimePoint verified_at, const Receives& receives);
+  /// Whether this instance, as a relay, passes on to another one what the coordinator sends.
+  bool IsMember(const std::string& address, const Peer& peer) const;
   bool IsRelay(const std::string& address) const {
     return std::find(relays_.begin(), relays_.end(), address) != relays_.end();
   }
@@ -320,8 +327,8 @@
   };
   std::deque<Queued> queue_;
   net::TimerId queue_timer_;
-  TimePoint queue_at_{};
-  double sendable_bytes_ = 0;
+  /// Bytes that may be sent now.
+  TokenBucket sendable_;
   /// Relays by the latest digest.
   std::vector<std::string> relays_;
   /// Arrival of the latest digest, or the time at which this instance ceased to be the coordinator.
--- a/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
@@ -83,6 +83,8 @@
   std::uint64_t version() const noexcept { return version_; }
 
  private:
+  /// Whether the known entry of a target is that of the incarnation that leaves.
+  bool HasIncarnation(const LeavingTarget& target) const;
   void Erase(std::map<std::string, Target>::iterator it);
 
   std::map<std::string, Target> targets_;
--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -108,10 +108,12 @@
   using RequestPtr = boost::intrusive_ptr<Request>;
   struct ServiceState {
     WaitingQueue queue;
-    /// Targets that are used first, as of the state of the directory in `subset_version`.
-    std::vector<const Target*> subset;
-    std::uint64_t subset_version = 0;
-    std::set<std::string> subset_withdrawn;
+    /// Targets that are used first and those that take what the first have no room for, as of this
+    /// version of the directory and these withdrawn data centres.
+    std::vector<const Target*> first;
+    std::vector<const Target*> rest;
+    std::uint64_t directory_version = 0;
+    std::set<std::string> withdrawn;
     RateMeter completions;
     Duration latency{0};
   };
@@ -128,8 +130,9 @@
   /// Looks at the targets in `targets` that the request may be sent to.
   Placement PlaceAmong(const Request& request, const std::vector<const Target*>& targets,
                        const Target*& target);
-  /// The targets of a service that this instance uses first.
-  const std::vector<const Target*>& SubsetOf(const std::string& service);
+  /// Divides the targets of a service into those that this instance uses first and the rest, unless
+  /// nothing has changed since.
+  void DivideTargets(const std::string& service, ServiceState& state) const;
   Candidate Describe(const Target& target);
   void Send(Request& request, const Target& target);
   void SetUrgency(Request& request);
@@ -153,7 +156,7 @@
   /// Ends a request without an answer of a target. The status follows from what may have happened:
   /// 503 promises that it has not run, 502 and 504 promise nothing.
   void GiveUp(Request& request, Refusal refusal, Duration retry_after);
-  void Refuse(Request& request, int status, Refusal refusal, Duration retry_after);
+  void Refuse(Request& request, int code, Refusal refusal, Duration retry_after);
   void Finish(Request& request, net::HttpResponse response, const char* outcome);
   void OfferService(const std::string& service);
   void CountEnd(const Request& request, const char* outcome);
--- a/packages/fleet/include/dogwoodport/fleet/routing/target_health.h
+++ b/packages/fleet/include/dogwoodport/fleet/routing/target_health.h
@@ -51,7 +51,6 @@
   bool ejected(TimePoint now) const noexcept { return now < ejected_until_; }
   /// Whether the target has asked for a pause that is not over at `now`.
   bool backs_off(TimePoint now) const noexcept { return now < back_off_until_; }
-  TimePoint back_off_until() const noexcept { return back_off_until_; }
 
   /// Whether the target may have started again without a heartbeat that says so: it could not be
   /// reached, and has served for less than a cold start since. It may be cold.
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dogwoodport/fleet/detail/name_hash.h"
+#include "dogwoodport/net/http_status.h"
 
 namespace dogwoodport::fleet {
 
@@ -37,7 +38,6 @@
 /// Age of the configuration above which callers are better served elsewhere.
 constexpr Duration kTooOldToServe{4'000'000};
 
-constexpr int kUnavailable = 503;
 /// When a caller should come back whose body found no memory.
 constexpr Duration kNoMemoryRetry{300'000};
 /// Part of the memory for the bodies of requests, and the same for those of answers. A request's
@@ -77,7 +77,7 @@
           [this](const net::RequestFault& fault) {
             log_.Write(LogLevel::kInfo, "request_unreadable",
                        {{"status", fault.status}, {"reason", fault.text}});
-            const bool no_memory = fault.status == kUnavailable;
+            const bool no_memory = fault.status == net::status::kUnavailable;
             return protocol_.MakeAnswer(
                 fault.status, NameOf(no_memory ? Refusal::kOverloaded : Refusal::kMalformed), false,
                 "", no_memory ? kNoMemoryRetry : Duration{0});
@@ -127,9 +127,7 @@
     OnTargetChange(id, TargetChange::kLeaving);
     leaving_news_ = true;
   };
-  peers_.on_prepare = [this](PeerReport& report, bool to_coordinator) {
-    PrepareReport(report, to_coordinator);
-  };
+  peers_.on_prepare = [this](PeerReport& report) { PrepareReport(report); };
   peers_.on_report = [this](const Peer& peer) { OnReport(peer); };
   peers_.on_prepare_load = [this](PeerLoad& load) { PrepareLoad(load); };
   peers_.on_load = [this](const PeerLoad& before, const PeerLoad& load) { OnLoad(before, load); };
@@ -190,7 +188,7 @@
   if (drained || since >= settings_.shutdown_grace - kExitMargin) loop_.Stop();
 }
 
-void Instance::PrepareReport(PeerReport& report, bool to_coordinator) {
+void Instance::PrepareReport(PeerReport& report) {
   const TimePoint now = loop_.now();
   report.wants_table = wants_table_;
   report.leading = coordinator_.leading();
@@ -202,7 +200,6 @@
   if (coordinator_.leading() && peers_.UsesDigests()) return;
   report.accounts = accounts_.MakeReport(now);
   report.leaving_targets = view_.directory.LeavingTargets();
-  if (!to_coordinator) return;
   for (auto& [service, rates] : view_.key_load.Busiest(now, settings_.reported_buckets)) {
     report.key_load.emplace_back(HashOf(service), std::move(rates));
   }
@@ -219,7 +216,8 @@
 }
 
 void Instance::HastenReports() {
-  if (!view_.accounts.ReportIsUrgent() && !std::exchange(leaving_news_, false)) return;
+  const bool leaving_news = std::exchange(leaving_news_, false);
+  if (!view_.accounts.ReportIsUrgent() && !leaving_news) return;
   if (coordinator_.leading()) {
     peers_.HastenDigest();
   } else if (peers_.UsesDigests() || !peers_.IsLarge()) {
--- a/packages/fleet/src/instance_feeds.cc
+++ b/packages/fleet/src/instance_feeds.cc
@@ -158,7 +158,7 @@
   recent = push.records;
   const FeedReader& reader = feed == Feed::kOperators ? operators_ : targets_;
   push.store_was_away = loop_.now() - reader.last_return_at() < settings_.entry_return;
-  peers_.PushFeed(push, reader.verified_at());
+  peers_.PushFeed(std::move(push), reader.verified_at());
 }
 
 void Instance::OnFeedPush(const FeedPush& push) {
--- a/packages/fleet/src/limits/account_limiter.cc
+++ b/packages/fleet/src/limits/account_limiter.cc
@@ -31,7 +31,7 @@
 constexpr double kEnoughUnreported = 3.0;
 /// Instances above which reports pass the coordinator and relays, and what all instances admit
 /// before they report can exceed the tolerance of an account.
-constexpr std::size_t kSmallFleet = 100;
+constexpr double kSmallFleet = 100;
 /// Instances of which one may be silent, so that the pool counts as known.
 constexpr std::size_t kSilentFactor = 10;
 /// Demand below which an account is left out of the reports, in requests per second.
@@ -109,10 +109,12 @@
   entry.pool_at = now;
 }
 
-bool AccountLimiter::IsLargeFleet() const noexcept {
-  return reachable_ + silent_ + 1 > kSmallFleet;
+double AccountLimiter::Instances() const noexcept {
+  return static_cast<double>(reachable_ + silent_ + 1);
 }
 
+bool AccountLimiter::IsLargeFleet() const noexcept { return Instances() > kSmallFleet; }
+
 double AccountLimiter::TargetRate(const Entry& entry) const noexcept {
   const double used = IsLargeFleet() ? kUsedToleranceOfLarge : kUsedTolerance;
   return entry.rate + used * Tolerated(entry) / Seconds(tolerance_.window);
@@ -124,20 +126,18 @@
 }
 
 double AccountLimiter::MostUnreported(const Entry& entry) const noexcept {
-  const auto instances = static_cast<double>(reachable_ + silent_ + 1);
-  const double part = IsLargeFleet() ? Tolerated(entry) / instances : kEnoughUnreported;
+  const double part = IsLargeFleet() ? Tolerated(entry) / Instances() : kEnoughUnreported;
   return std::max(std::clamp(part, kFewestUnreported, kEnoughUnreported),
-                  kUnreportedPart * entry.pool / instances);
+                  kUnreportedPart * entry.pool / Instances());
 }
 
 bool AccountLimiter::IsOpen(const Entry& entry, TimePoint now) const {
   const bool alone = reachable_ + silent_ == 0;
   const bool known = alone || now - known_at_ <= kPoolAge;
   const bool most_report = known && silent_ * kSilentFactor <= reachable_ + 1;
-  const double even = entry.burst / static_cast<double>(reachable_ + silent_ + 1);
+  const double even = entry.burst / Instances();
   const bool reported = alone || entry.admitted - entry.reported.admitted < MostUnreported(entry);
-  const auto instances = static_cast<double>(reachable_ + silent_ + 1);
-  const bool small = Tolerated(entry) < kSmallTolerance * instances;
+  const bool small = Tolerated(entry) < kSmallTolerance * Instances();
   const double reserve = small ? kPoolReserveOfSmall : kPoolReserve;
   return most_report && reported && entry.pool >= reserve * std::max(1.0, entry.burst) &&
          entry.bucket.tokens() > -std::max(kSmallestDebt, even);
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -8,6 +8,7 @@
 #include "dogwoodport/fleet/detail/name_hash.h"
 #include "dogwoodport/fleet/detail/packing.h"
 #include "dogwoodport/net/net_error.h"
+#include "peer_datagrams.h"
 
 namespace dogwoodport::fleet {
 namespace {
@@ -15,30 +16,10 @@
 using detail::Pack;
 using detail::Unpack;
 
-constexpr char kReportKind = 'r';
-constexpr char kLoadKind = 'l';
-constexpr char kTableKind = 't';
-constexpr char kTableChangeKind = 'c';
-constexpr char kFeedKind = 'f';
-constexpr char kDigestKind = 'd';
-/// A datagram for a relay: its body is the datagram that the relay passes on.
-constexpr char kRelayKind = 'y';
-/// The same for a part of a feed, which the relay dates anew for each receiver.
-constexpr char kRelayFeedKind = 'z';
 constexpr std::size_t kLargestDatagram = 65'000;
-/// Interval in which queued datagrams are sent.
-constexpr Duration kQueueInterval{2'000};
-/// Bytes that may be sent at once after a pause.
-constexpr double kBurstBytes = 64'000;
-/// Queued datagrams beyond which the oldest are dropped; newer ones replace what they say.
-constexpr std::size_t kMostQueued = 4'000;
-/// Time before the latest digest in which an instance must have been heard to count as alive then.
-constexpr Duration kPresentBefore{1'500'000};
 /// Time over which the instances of a large fleet spread their first reports to a new coordinator,
 /// or to new relays.
 constexpr Duration kFirstReports{400'000};
-/// Time after its discovery for which an instance that was never heard counts as alive.
-constexpr Duration kNewPeer{5'000'000};
 /// Datagrams read in one round.
 constexpr int kReadsPerRound = 64;
 
@@ -59,6 +40,8 @@
   } catch (const Poco::Exception& e) {
     throw net::NetError("cannot bind " + address_ + ": " + e.displayText());
   }
+  sendable_.Configure(settings_.most_bytes_per_s, settings_.burst_bytes);
+  sendable_.Add(settings_.burst_bytes);
   loop_.Watch(socket_, Poco::Net::PollSet::POLL_READ, this);
   ScheduleReport(ReportInterval(leading_));
   ScheduleLoad();
@@ -126,77 +109,6 @@
   if (leading_) ScheduleDigest(settings_.digest_interval);
 }
 
-void PeerExchange::ScheduleDigest(Duration delay) {
-  loop_.Cancel(digest_timer_);
-  digest_timer_ = loop_.RunAfter(delay, [this] {
-    SendDigest();
-    ScheduleDigest(settings_.digest_interval);
-  });
-}
-
-void PeerExchange::HastenDigest() {
-  if (!leading_ || !UsesDigests()) return;
-  const TimePoint due = digest_sent_at_ + settings_.urgent_digest_interval;
-  ScheduleDigest(std::max(Duration{0}, due - loop_.now()));
-}
-
-void PeerExchange::SendDigest() {
-  if (!UsesDigests()) return;
-  digest_sent_at_ = loop_.now();
-  PeerDigest digest;
-  digest.address = address_;
-  digest.number = incarnation_ + ++digest_number_;
-  const ReachableTest reachable = Reachable();
-  for (const auto& [address, peer] : peers_) {
-    if (!reachable(peer) || peer.report.leaving) continue;
-    digest.present.push_back({address, peer.report.data_centre, peer.report.processor_share});
-  }
-  digest.relays = ChooseRelays();
-  relays_ = digest.relays;
-  if (on_prepare_digest) on_prepare_digest(digest);
-  Broadcast(kDigestKind, Pack(digest));
-}
-
-std::vector<std::string> PeerExchange::ChooseRelays() const {
-  const ReachableTest reachable = Reachable();
-  std::map<std::string, std::vector<std::pair<float, std::string>>> by_data_centre;
-  for (const auto& [address, peer] : peers_) {
-    if (!reachable(peer) || peer.report.leaving) continue;
-    by_data_centre[peer.report.data_centre].emplace_back(-peer.report.processor_share, address);
-  }
-  std::vector<std::string> result;
-  for (auto& [data_centre, members] : by_data_centre) {
-    std::sort(members.begin(), members.end());
-    const std::size_t n = std::min(members.size(), settings_.relays_per_data_centre);
-    for (std::size_t i = 0; i < n; ++i) result.push_back(members[i].second);
-  }
-  return result;
-}
-
-void PeerExchange::ReceiveDigest(const PeerDigest& digest) {
-  const auto sender = peers_.find(digest.address);
-  if (sender == peers_.end() || !sender->second.report.leading) return;
-  if (digest.number <= sender->second.digest_number) return;
-  sender->second.digest_number = digest.number;
-  digest_at_ = loop_.now();
-  const bool new_relays = relays_ != digest.relays;
-  relays_ = digest.relays;
-  // An instance that has stepped down may have told the new coordinator only.
-  const std::uint64_t generation = sender->second.report.generation;
-  for (auto& [address, peer] : peers_) {
-    if (peer.report.generation < generation) peer.report.leading = false;
-  }
-  for (const PresentInstance& it : digest.present) {
-    if (it.address == address_) continue;
-    AddPeer(it);
-    Peer& peer = peers_[it.address];
-    peer.heard = true;
-    peer.heard_at = loop_.now();
-  }
-  if (on_digest) on_digest(digest, sender->second);
-  if (new_relays) ReportSoon();  // Relays date feeds by the reports that they have.
-}
-
 void PeerExchange::ScheduleReport(Duration delay) {
   report_timer_ = loop_.RunAfter(delay, [this] {
     report_timer_ = net::TimerId{};
@@ -257,35 +169,6 @@
   return UsesDigests() ? Audience::kCoordinator : Audience::kCandidates;
 }
 
-bool PeerExchange::IsAhead(const std::string& address, const Peer& peer) const {
-  return std::pair(-peer.report.processor_share, address) < std::pair(-processor_share_, address_);
-}
-
-std::size_t PeerExchange::AheadForTakeOver() const {
-  const TimePoint now = loop_.now();
-  const ReachableTest reachable = Reachable();
-  return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
-    const Peer& peer = it.second;
-    if (peer.report.leaving || !IsAhead(it.first, peer)) return false;
-    if (!IsLarge()) return reachable(peer);
-    return peer.heard ? peer.heard_at >= digest_at_ - kPresentBefore
-                      : now - peer.known_since < kNewPeer;
-  }));
-}
-
-std::set<std::string> PeerExchange::Candidates() const {
-  std::vector<std::pair<float, std::string>> ranked;
-  for (const auto& [address, peer] : peers_) {
-    if (!peer.report.leaving) ranked.emplace_back(-peer.report.processor_share, address);
-  }
-  std::sort(ranked.begin(), ranked.end());
-  std::set<std::string> result;
-  for (std::size_t i = 0; i < ranked.size() && i < settings_.candidates; ++i) {
-    result.insert(ranked[i].second);
-  }
-  return result;
-}
-
 void PeerExchange::Report(Audience audience, bool urgent) {
   PeerReport report;
   report.address = address_;
@@ -295,11 +178,10 @@
   report.processor_share = processor_share_;
   report.stamp_us = loop_.now().time_since_epoch().count();
   report.urgent = urgent;
-  PeerReport full = report;
-  if (on_prepare) on_prepare(report, false);
-  if (on_prepare) on_prepare(full, true);
+  if (on_prepare) on_prepare(report);
+  const std::string full_body = Pack(report);
+  report.key_load.clear();
   const std::string body = Pack(report);
-  const std::string full_body = Pack(full);
   const std::set<std::string> candidates =
       audience == Audience::kCandidates ? Candidates() : std::set<std::string>();
   for (const auto& [address, peer] : peers_) {
@@ -311,86 +193,6 @@
   }
 }
 
-void PeerExchange::SendFeed(FeedPush push, TimePoint verified_at, const std::string& address,
-                            const Peer& peer) {
-  // The report that the receiver stamped arrived at `reported_at`, later than it was sent, so the
-  // date is not later than the true one.
-  push.verified_us = peer.report.stamp_us + (verified_at - peer.reported_at).count();
-  const bool relay = UsesDigests() && leading_ && IsRelay(address);
-  SendTo(address, relay ? kRelayFeedKind : kFeedKind, Pack(push));
-}
-
-void PeerExchange::PushFeed(const FeedPush& push, TimePoint verified_at) {
-  const ReachableTest reachable = Reachable();
-  for (const auto& [address, peer] : peers_) {
-    const bool direct = !UsesDigests() || IsRelay(address) || relays_.empty();
-    if (direct && reachable(peer) && peer.reported_at != TimePoint{}) {
-      SendFeed(push, verified_at, address, peer);
-    }
-  }
-}
-
-void PeerExchange::RelayFeed(const FeedPush& push) {
-  if (on_feed) on_feed(push);
-  const ReachableTest reachable = Reachable();
-  const TimePoint verified_at{Duration(push.verified_us)};
-  for (const auto& [address, peer] : peers_) {
-    const bool is_member = peer.report.data_centre == data_centre_ && !peer.report.leading;
-    if (!is_member || IsRelay(address)) continue;
-    if (reachable(peer) && peer.reported_at != TimePoint{}) {
-      SendFeed(push, verified_at, address, peer);
-    }
-  }
-}
-
-void PeerExchange::SendTable(const std::string& bytes) { Broadcast(kTableKind, bytes); }
-
-void PeerExchange::SendTableChange(const std::string& bytes) { Broadcast(kTableChangeKind, bytes); }
-
-void PeerExchange::Broadcast(char kind, const std::string& body) {
-  const auto datagram = std::make_shared<const std::string>(kind + body);
-  if (!UsesDigests() || relays_.empty()) {
-    for (const auto& [address, peer] : peers_) queue_.push_back({address, datagram});
-  } else {
-    const auto relayed = std::make_shared<const std::string>(kRelayKind + *datagram);
-    for (const std::string& address : relays_) queue_.push_back({address, relayed});
-  }
-  Drain();
-}
-
-void PeerExchange::Relay(const std::string& datagram) {
-  Receive(datagram.data(), datagram.size());
-  const auto shared = std::make_shared<const std::string>(datagram);
-  for (const auto& [address, peer] : peers_) {
-    const bool is_member = peer.report.data_centre == data_centre_ && !peer.report.leading;
-    if (is_member && !IsRelay(address)) queue_.push_back({address, shared});
-  }
-  Drain();
-}
-
-void PeerExchange::Drain() {
-  const TimePoint now = loop_.now();
-  sendable_bytes_ = std::min(
-      kBurstBytes, sendable_bytes_ + settings_.most_bytes_per_s * Seconds(now - queue_at_));
-  queue_at_ = now;
-  while (queue_.size() > kMostQueued) queue_.pop_front();
-  while (!queue_.empty() && sendable_bytes_ > 0) {
-    sendable_bytes_ -= static_cast<double>(queue_.front().datagram->size());
-    SendDatagram(queue_.front().address, *queue_.front().datagram);
-    queue_.pop_front();
-  }
-  if (queue_.empty() || queue_timer_) return;
-  queue_timer_ = loop_.RunAfter(kQueueInterval, [this] {
-    queue_timer_ = net::TimerId{};
-    Drain();
-  });
-}
-
-void PeerExchange::SendTable(const std::string& bytes, const std::string& address) {
-  queue_.push_back({address, std::make_shared<const std::string>(kTableKind + bytes)});
-  Drain();
-}
-
 void PeerExchange::SendTo(const std::string& address, char kind, const std::string& body) {
   SendDatagram(address, kind + body);
 }
--- a/packages/fleet/src/membership/target_directory.cc
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -56,12 +56,17 @@
   return change;
 }
 
+bool TargetDirectory::HasIncarnation(const LeavingTarget& target) const {
+  const Target* const known = Find(target.id);
+  return known != nullptr && known->entry.incarnation == target.incarnation;
+}
+
 TargetChange TargetDirectory::MarkLeaving(const LeavingTarget& target, TimePoint now) {
   if (!leaving_.try_emplace(target, now).second) return TargetChange::kNone;
-  const auto it = targets_.find(target.id);
-  const bool known = it != targets_.end() && it->second.entry.incarnation == target.incarnation;
-  if (!known || it->second.entry.phase == TargetPhase::kDraining) return TargetChange::kNone;
-  it->second.entry.phase = TargetPhase::kDraining;
+  if (!HasIncarnation(target)) return TargetChange::kNone;
+  TargetPhase& phase = targets_.at(target.id).entry.phase;
+  if (phase == TargetPhase::kDraining) return TargetChange::kNone;
+  phase = TargetPhase::kDraining;
   ++version_;
   return TargetChange::kLeaving;
 }
@@ -69,9 +74,10 @@
 std::vector<LeavingTarget> TargetDirectory::LeavingTargets() const {
   std::vector<LeavingTarget> result;
   for (const auto& [target, since] : leaving_) {
-    const auto it = targets_.find(target.id);
-    const bool known = it != targets_.end() && it->second.entry.incarnation == target.incarnation;
-    if (known && it->second.heartbeat_phase == TargetPhase::kReady) result.push_back(target);
+    const bool known = HasIncarnation(target);
+    if (known && targets_.at(target.id).heartbeat_phase == TargetPhase::kReady) {
+      result.push_back(target);
+    }
   }
   return result;
 }
--- a/packages/fleet/src/ownership/key_coordinator_moves.cc
+++ b/packages/fleet/src/ownership/key_coordinator_moves.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "dogwoodport/fleet/ownership/key_coordinator.h"
+#include "dogwoodport/net/http_status.h"
 #include "guarded.h"
 
 namespace dogwoodport::fleet {
@@ -12,8 +13,6 @@
 constexpr Duration kRetryInterval{300'000};
 /// Longest time until the end of a move is recorded; moves that end within it share a record.
 constexpr Duration kFinishInterval{200'000};
-constexpr int kOk = 200;
-constexpr int kConflict = 409;
 
 }  // namespace
 
@@ -134,7 +133,7 @@
                 if (it == takings_.end()) return;
                 it->second.calling = false;
                 it->second.call_at = ports_.now() + kRetryInterval;
-                if (!response || response->status != kOk) return;
+                if (!response || response->status != net::status::kOk) return;
                 it->second.answered = true;
                 it->second.handover = ports_.protocol->ReadHandover(*response);
                 RenewRanges();
@@ -173,12 +172,12 @@
   Holding& holding = it->second;
   holding.calling = false;
   if (!response) return;
-  if (response->status == kConflict) {
+  if (response->status == net::status::kConflict) {
     // A higher token was seen there: this instance may have been replaced.
     Log(LogLevel::kWarning, "grant_refused", {{"service", id.first}, {"first", id.second}});
     return;
   }
-  if (response->status != kOk) return;
+  if (response->status != net::status::kOk) return;
   holding.renew_at = ports_.now() + settings_.renewal_interval;
   if (holding.confirmed) return;
   holding.confirmed = true;
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -6,6 +6,9 @@
 #include "forwarder_request.h"
 
 namespace dogwoodport::fleet {
+
+namespace status = net::status;
+
 namespace {
 
 constexpr std::array<const char*, 11> kRefusalNames = {
@@ -13,10 +16,6 @@
     "malformed",        "over_limit",    "no_target",      "overloaded",
     "timed_out",        "target_failed", "shutting_down"};
 
-/// Time to come back where nothing better is known.
-constexpr Duration kDefaultRetry{300'000};
-/// Time to come back to another instance after one that shuts down.
-constexpr Duration kShutDownRetry{50'000};
 /// Weight of the newest sample in the usual time of a service.
 constexpr double kLatencyWeight = 0.05;
 /// A request waits for a target as long as this many usual times are left of its objective; most
@@ -36,20 +35,12 @@
 constexpr Duration kDeniedWait{120'000};
 /// Largest random part of a pause that a target asks for, so that instances do not return together.
 constexpr double kBackOffSpread = 0.1;
-/// Response statuses.
-constexpr int kRequestTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
-bool IsSuccess(int status) noexcept { return status >= 200 && status < 300; }
+bool IsSuccess(int code) noexcept { return code >= 200 && code < 300; }
 
 /// Whether callers take a status for the promise that the request has not run.
-bool PromisesNotRun(int status) noexcept {
-  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
-         status == kUnavailable;
+bool PromisesNotRun(int code) noexcept {
+  return code == status::kRequestTimeout || code == status::kMisdirected ||
+         code == status::kTooManyRequests || code == status::kUnavailable;
 }
 
 net::PoolLimits PoolLimitsFor(const ForwarderSettings& settings) {
@@ -109,81 +100,6 @@
   Start(request);
 }
 
-bool Forwarder::Admit(Request& request) {
-  request.config = view_.config;
-  const net::HttpRequest& http = request.exchange->request();
-  if (closed_) {
-    Refuse(request, 503, Refusal::kShuttingDown, kShutDownRetry);
-    return false;
-  }
-  if (!request.config) {
-    Refuse(request, 503, Refusal::kNoConfiguration, kDefaultRetry);
-    return false;
-  }
-  const bool current = now() - view_.config_verified_at <= settings_.unknown_is_final;
-  request.route = request.config->FindRoute(http.host, http.target);
-  if (request.route == nullptr) {
-    Refuse(request, current ? 404 : 503, Refusal::kUnknownRoute, kDefaultRetry);
-    return false;
-  }
-  if (!request.route->is_public && request.config->has_accounts() && !CheckAccount(request)) {
-    return false;
-  }
-  if (request.caller.patience_malformed || request.caller.request_id.empty()) {
-    Refuse(request, 400, Refusal::kMalformed, Duration{0});
-    return false;
-  }
-  const TimePoint arrived = request.exchange->received_at();
-  request.due_at = arrived + request.route->timeout;
-  if (request.caller.patience) {
-    request.due_at = std::min(request.due_at, arrived + *request.caller.patience);
-  }
-  request.objective_at = arrived + request.route->latency_objective;
-  request.service = request.config->FindService(ChooseService(*request.route));
-  if (request.service == nullptr) {
-    Refuse(request, 503, Refusal::kNoTarget, kDefaultRetry);
-    return false;
-  }
-  if (request.service->keyed && !request.caller.key) {
-    Refuse(request, 400, Refusal::kMalformed, Duration{0});
-    return false;
-  }
-  return true;
-}
-
-bool Forwarder::CheckAccount(Request& request) {
-  const Duration age = now() - view_.config_verified_at;
-  if (age > settings_.longest_secret_age) {
-    Refuse(request, 503, Refusal::kStaleSecrets, kDefaultRetry);
-    return false;
-  }
-  const Account* const account = request.caller.secret_malformed || !request.caller.secret
-                                     ? nullptr
-                                     : request.config->FindAccount(*request.caller.secret);
-  if (account == nullptr) {
-    const bool may_be_new = request.caller.secret && age > settings_.unknown_is_final;
-    Refuse(request, may_be_new ? 503 : 401, Refusal::kNotAuthorized, kDefaultRetry);
-    return false;
-  }
-  request.account = account->name;
-  request.priority = account->priority.value_or(request.route->priority);
-  const AccountLimiter::Decision decision = view_.accounts.Admit(account->name, now());
-  if (decision.admitted) return true;
-  Refuse(request, 429, Refusal::kOverAccountLimit, decision.retry_after);
-  return false;
-}
-
-std::string Forwarder::ChooseService(const Route& route) {
-  double total = 0;
-  for (const Split& it : route.splits) total += it.weight;
-  double at = Random() * total;
-  for (const Split& it : route.splits) {
-    at -= it.weight;
-    if (at < 0) return it.service;
-  }
-  return route.splits.empty() ? "" : route.splits.back().service;
-}
-
 void Forwarder::Start(const RequestPtr& request) {
   const TimePoint arrived = request->exchange->received_at();
   request->arrived_at = arrived;
@@ -301,8 +217,7 @@
     health.BackOff(now() + pause);
     LogRequest(LogLevel::kInfo, "target_backs_off", request, {{"pause_ms", pause.count() / 1000}});
   }
-  const Target* const target = view_.directory.Find(request.target_id);
-  if (!answer.leaving || target == nullptr) return;
+  if (!answer.leaving || view_.directory.Find(request.target_id) == nullptr) return;
   const LeavingTarget leaving{request.target_id, request.target_incarnation};
   if (view_.directory.MarkLeaving(leaving, now()) == TargetChange::kNone) return;
   LogRequest(LogLevel::kInfo, "target_leaves", request,
@@ -313,7 +228,7 @@
 void Forwarder::OnAnswer(Request& request, net::HttpResponse response) {
   const AnswerFields answer = protocol_.ReadAnswer(response);
   Observe(request, answer);
-  if (answer.not_run || response.status == kMisdirected) {
+  if (answer.not_run || response.status == status::kMisdirected) {
     OnNotRun(request, response);
     return;
   }
@@ -343,7 +258,7 @@
 }
 
 void Forwarder::OnNotRun(Request& request, const net::HttpResponse& response) {
-  const bool misdirected = response.status == kMisdirected;
+  const bool misdirected = response.status == status::kMisdirected;
   LogRequest(LogLevel::kInfo, "not_run", request, {{"status", response.status}});
   request.hold_back_until = now() + kDeniedWait;
   request.denied_revision = view_.keys.revision;
@@ -436,23 +351,23 @@
 }
 
 void Forwarder::GiveUp(Request& request, Refusal refusal, Duration retry_after) {
-  const int failed = refusal == Refusal::kTimedOut ? kGatewayTimeout : kBadGateway;
-  Refuse(request, request.may_have_run ? failed : kUnavailable, refusal, retry_after);
+  const int failed = refusal == Refusal::kTimedOut ? status::kGatewayTimeout : status::kBadGateway;
+  Refuse(request, request.may_have_run ? failed : status::kUnavailable, refusal, retry_after);
 }
 
-void Forwarder::Refuse(Request& request, int status, Refusal refusal, Duration retry_after) {
+void Forwarder::Refuse(Request& request, int code, Refusal refusal, Duration retry_after) {
   if (request.ended) return;
   ++counters_.refusals[static_cast<std::size_t>(refusal)];
-  const bool retry_helps = status == 503 || status == 429;
+  const bool retry_helps = code == status::kUnavailable || code == status::kTooManyRequests;
   if (!retry_helps) retry_after = Duration{0};
   LogRequest(LogLevel::kWarning, "refused", request,
-             {{"status", status},
+             {{"status", code},
               {"reason", NameOf(refusal)},
               {"retry_after_ms", retry_after.count() / 1000},
               {"config_age_ms", (now() - view_.config_verified_at).count() / 1000}});
   CountEnd(request, NameOf(refusal));
   Finish(request,
-         protocol_.MakeAnswer(status, NameOf(refusal), request.may_have_run,
+         protocol_.MakeAnswer(code, NameOf(refusal), request.may_have_run,
                               request.caller.request_id, retry_after),
          nullptr);
 }
--- a/packages/fleet/src/requests/forwarder_placement.cc
+++ b/packages/fleet/src/requests/forwarder_placement.cc
@@ -1,5 +1,7 @@
 // Where the forwarder sends a request: the owner of its key, or the best target of its service.
 
+#include <algorithm>
+
 #include "forwarder_request.h"
 
 namespace dogwoodport::fleet {
@@ -35,14 +37,14 @@
   return Placement::kFound;
 }
 
-const std::vector<const Target*>& Forwarder::SubsetOf(const std::string& service) {
-  ServiceState& state = services_[service];
-  const bool current = state.subset_version == view_.directory.version() &&
-                       state.subset_withdrawn == view_.withdrawn;
-  if (current) return state.subset;
-  state.subset_version = view_.directory.version();
-  state.subset_withdrawn = view_.withdrawn;
-  state.subset.clear();
+void Forwarder::DivideTargets(const std::string& service, ServiceState& state) const {
+  const bool current =
+      state.directory_version == view_.directory.version() && state.withdrawn == view_.withdrawn;
+  if (current) return;
+  state.directory_version = view_.directory.version();
+  state.withdrawn = view_.withdrawn;
+  state.first.clear();
+  state.rest.clear();
   std::vector<const Target*> targets;
   std::vector<SubsetCandidate> candidates;
   for (const auto& [id, target] : view_.directory.OfService(service)) {
@@ -52,21 +54,19 @@
     targets.push_back(target);
     candidates.push_back({id, entry.data_centre == view_.data_centre});
   }
-  for (const std::size_t i : ChooseSubset(candidates, view_.instance, settings_.subset)) {
-    state.subset.push_back(targets[i]);
+  const auto chosen = ChooseSubset(candidates, view_.instance, settings_.subset);
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    const bool is_first = std::binary_search(chosen.begin(), chosen.end(), i);
+    (is_first ? state.first : state.rest).push_back(targets[i]);
   }
-  return state.subset;
 }
 
 Forwarder::Placement Forwarder::PlaceAtAny(const Request& request, const Target*& target) {
-  const std::vector<const Target*>& subset = SubsetOf(request.service->name);
-  const Placement placement = PlaceAmong(request, subset, target);
-  const auto& all = view_.directory.OfService(request.service->name);
-  if (placement == Placement::kFound || subset.size() == all.size()) return placement;
-  std::vector<const Target*> others;
-  others.reserve(all.size());
-  for (const auto& [id, it] : all) others.push_back(it);
-  const Placement elsewhere = PlaceAmong(request, others, target);
+  ServiceState& state = services_[request.service->name];
+  DivideTargets(request.service->name, state);
+  const Placement placement = PlaceAmong(request, state.first, target);
+  if (placement == Placement::kFound || state.rest.empty()) return placement;
+  const Placement elsewhere = PlaceAmong(request, state.rest, target);
   return elsewhere == Placement::kNoTarget ? placement : elsewhere;
 }
 
@@ -76,15 +76,14 @@
   std::vector<Candidate> candidates;
   std::vector<const Target*> usable;
   bool any = false;
-  for (const Target* const entry : targets) {
-    const Target& it = *entry;
-    if (!view_.Usable(it, now())) continue;
-    if (request.Tried(it.entry.id)) continue;
+  for (const Target* const it : targets) {
+    if (!view_.Usable(*it, now())) continue;
+    if (request.Tried(it->entry.id)) continue;
     any = true;
-    if (view_.IsCold(it, now()) && !view_.cold.Available(it.entry.id, now())) continue;
-    if (!HasConnection(it, *request.service)) continue;
-    candidates.push_back(Describe(it));
-    usable.push_back(&it);
+    if (view_.IsCold(*it, now()) && !view_.cold.Available(it->entry.id, now())) continue;
+    if (!HasConnection(*it, *request.service)) continue;
+    candidates.push_back(Describe(*it));
+    usable.push_back(it);
   }
   const Duration usual = UsualLatency(request.service->name);
   const auto best = SelectTarget(candidates, usual > Duration{0} ? usual : kUnknownLatency,
--- a/packages/fleet/src/requests/forwarder_request.h
+++ b/packages/fleet/src/requests/forwarder_request.h
@@ -11,9 +11,12 @@
 
 #include "dogwoodport/fleet/requests/forwarder.h"
 #include "dogwoodport/fleet/requests/request_fingerprint.h"
+#include "dogwoodport/net/http_status.h"
 
 namespace dogwoodport::fleet {
 
+/// Time to come back where nothing better is known.
+inline constexpr Duration kDefaultRetry{300'000};
 /// Time of a request at a service that has not served any yet.
 inline constexpr Duration kUnknownLatency{100'000};
 
--- a/packages/net/include/dogwoodport/net/body_budget.h
+++ b/packages/net/include/dogwoodport/net/body_budget.h
@@ -17,7 +17,6 @@
 
   explicit BodyBudget(std::size_t bytes = kDefaultBytes) noexcept : bytes_(bytes) {}
 
-  void SetBytes(std::size_t bytes) noexcept { bytes_ = bytes; }
   /// Bytes that one body may take, so that one that never ends does not keep all others out.
   std::size_t most_for_one() const noexcept { return bytes_ / kBodies; }
   std::size_t taken() const noexcept { return taken_; }
--- a/packages/net/include/dogwoodport/net/http_client.h
+++ b/packages/net/include/dogwoodport/net/http_client.h
@@ -87,7 +87,6 @@
   bool saw_foreign_response_ = false;
   /// Responses of the present call that were not the awaited one.
   int skipped_ = 0;
-  bool answered_any_ = false;
   std::uint64_t sent_before_call_ = 0;
   TimePoint idle_since_;
   Duration peer_idle_limit_{0};
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -136,7 +136,6 @@
 }
 
 void ClientConnection::Finish(HttpResponse response) {
-  answered_any_ = true;
   CallHandler* const handler = std::exchange(handler_, nullptr);
   const Duration limit = KeepAliveTimeout(response.fields);
   if (limit > Duration{0}) peer_idle_limit_ = limit;
@@ -185,7 +184,8 @@
     Fail(CallFailure::kMalformed);
     return;
   }
-  const bool rejected = end == StreamEnd::kReset && !answered_any_ && !parser_.started();
+  const bool is_first_call = sent_before_call_ == 0;
+  const bool rejected = end == StreamEnd::kReset && is_first_call && !parser_.started();
   if (rejected && any_sent()) {
     Fail(CallFailure::kRejected);
     return;
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -7,6 +7,7 @@
 
 #include <utility>
 
+#include "dogwoodport/net/http_status.h"
 #include "dogwoodport/net/net_error.h"
 
 namespace dogwoodport::net {
@@ -23,9 +24,6 @@
 constexpr std::size_t kCloseRefusedPercent = 40;
 constexpr std::size_t kCloseAllPercent = 80;
 
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
-
 std::string Serialise(const HttpResponse& response, bool to_head, bool last, bool close) {
   std::string out;
   out.reserve(256 + response.body.size());
@@ -254,8 +252,8 @@
     const ExchangePtr exchange = exchanges_.front();
     exchanges_.pop_front();
     --server_->open_requests_;
-    const int status = exchange->response_.status;
-    const bool refused = status == kTooManyRequests || status == kUnavailable;
+    const int code = exchange->response_.status;
+    const bool refused = code == status::kTooManyRequests || code == status::kUnavailable;
     if (server_->ShouldClose(refused)) no_more_requests_ = true;
     const bool last = exchanges_.empty() && no_more_requests_;
     stream_->Write(Serialise(exchange->response_, exchange->request().method == "HEAD", last,
--- a/tests/fleet/forwarder_world.h
+++ b/tests/fleet/forwarder_world.h
@@ -183,15 +183,7 @@
   }
 
   bool RunUntil(const std::function<bool()>& done) {
-    bool late = false;
-    net::TimerId limit = loop.RunAfter(std::chrono::seconds(30), [&] { late = true; });
-    if (!done()) {
-      loop.Run([&] {
-        if (late || done()) loop.Stop();
-      });
-    }
-    loop.Cancel(limit);
-    return done();
+    return net::RunUntil(loop, done, std::chrono::seconds(30));
   }
   void RunFor(Duration span) {
     loop.RunAfter(span, [this] { loop.Stop(); });
--- a/tests/fleet/unit-peer_exchange.cpp
+++ b/tests/fleet/unit-peer_exchange.cpp
@@ -16,7 +16,7 @@
       exchanges.push_back(std::make_unique<PeerExchange>(
           loop, log, PeerSettings{}, PeerIdentity{address, DataCentre(i), 5, Share(i)}));
       PeerExchange& exchange = *exchanges.back();
-      exchange.on_prepare = [i, leads, this](PeerReport& report, bool) {
+      exchange.on_prepare = [i, leads, this](PeerReport& report) {
         report.leading = leads && i == 0;
         report.generation = generation;
       };
--- a/tests/net/http_world.h
+++ b/tests/net/http_world.h
@@ -13,6 +13,19 @@
 
 namespace dogwoodport::net {
 
+/// Runs the loop until `done` holds; returns whether it did within `limit`.
+inline bool RunUntil(EventLoop& loop, const std::function<bool()>& done, Duration limit) {
+  bool late = false;
+  TimerId timer = loop.RunAfter(limit, [&] { late = true; });
+  if (!done()) {
+    loop.Run([&] {
+      if (late || done()) loop.Stop();
+    });
+  }
+  loop.Cancel(timer);
+  return done();
+}
+
 /// A server and raw clients on one event loop.
 class HttpWorld {
  public:
@@ -28,15 +41,7 @@
 
   /// Runs the loop until `done` holds; returns whether it did within five seconds.
   bool RunUntil(const std::function<bool()>& done) {
-    bool late = false;
-    TimerId limit = loop.RunAfter(std::chrono::seconds(5), [&] { late = true; });
-    if (!done()) {
-      loop.Run([&] {
-        if (late || done()) loop.Stop();
-      });
-    }
-    loop.Cancel(limit);
-    return done();
+    return net::RunUntil(loop, done, std::chrono::seconds(5));
   }
 
   static HttpResponse Text(const std::string& body) {
