Stop requests that end each target that runs them, over all attempts and instances

Cause: the data path knew a request by the id of one attempt only. Class: a rule over all attempts and instances, kept by state of one attempt. Change: fleet/requests/quarantine counts, by fingerprint, the targets that were lost under a request. A broken connection counts at once; a reset of a new connection, nonsense, a time-out and a caller that left count if the target turns out to be lost. A complete answer clears the request everywhere. At the third loss it is refused with 503 and the rest of ten minutes as Retry-After, also when it waits or would be repeated. Instances tell each other losses, answers and requests in quarantine in their reports; in a large fleet the coordinator tells all in its digests. The coordinator records them in the store and reads them at a take-over, so that they outlive a restart of all instances. Rates are charged after the check. Why this works: losses are distinct targets and incarnations, so one that resets connections and lives counts once; a popular request is cleared by its answers.

--- a/packages/client/src/request_story.cc
+++ b/packages/client/src/request_story.cc
@@ -22,7 +22,7 @@
   const char* text;
 };
 
-constexpr std::array<BeliefEvent, 13> kBeliefEvents = {{
+constexpr std::array<BeliefEvent, 14> kBeliefEvents = {{
     {"config_applied", "", "a new configuration came into force"},
     {"data_centres_withdrawn", "", "the withdrawn data centres changed"},
     {"account_limit_changed", "account", "the limits of the account changed"},
@@ -31,6 +31,7 @@
     {"store_lost", "", "the store does not answer"},
     {"store_regained", "", "the store answers again"},
     {"owners_changed", "", "the owners of keys changed"},
+    {"quarantine_changed", "fingerprint", "a request entered or left the quarantine"},
     {"coordinator_started", "", "this instance became the coordinator"},
     {"coordinator_stopped", "", "this instance stopped being the coordinator"},
     {"started", "", "the instance started"},
@@ -44,7 +45,7 @@
 };
 
 /// Why the router ended a request by itself.
-constexpr std::array<ReasonText, 11> kReasons = {{
+constexpr std::array<ReasonText, 12> kReasons = {{
     {"no_configuration", "the instance had no configuration yet"},
     {"unknown_route", "no route of the configuration matches its host and path"},
     {"not_authorized", "its secret belongs to no client account"},
@@ -57,6 +58,7 @@
     {"timed_out", "its target did not answer in the time that the route or the caller allows"},
     {"target_failed", "the connection to its target broke, and it could not be sent again"},
     {"shutting_down", "the instance was about to end"},
+    {"quarantined", "several targets were lost while they ran the same request"},
 }};
 
 const BeliefEvent* FindBelief(const std::string& event) {
@@ -195,7 +197,8 @@
       shown.push_back(it);
       const std::string details =
           Details(it->fields, {"target", "change", "account", "from", "to", "rate_per_s", "burst",
-                               "data_centres", "feed", "reason", "generation", "revision"});
+                               "data_centres", "feed", "reason", "generation", "revision",
+                               "fingerprint", "losses"});
       std::string text = FindBelief(it->fields["event"].get<std::string>())->text;
       if (!details.empty()) text += " (" + details + ")";
       add(*it, std::move(text), "");
--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -114,6 +114,13 @@
 
   void Tick();
   void CheckCoordinator();
+  /// Logs what entered and left the quarantine, so that the others hear it soon.
+  void LogQuarantine();
+  /// Forgets what is too old. The coordinator also keeps the store's record of the quarantine,
+  /// which outlives the instances.
+  void MaintainQuarantine();
+  void ReadQuarantine();
+  void RecordQuarantine(Fingerprint fingerprint, bool quarantined);
   void RefreshShares();
   void MaintainConnections();
   void LogStatus();
@@ -144,8 +151,12 @@
   /// may be lost.
   std::map<Feed, std::vector<StoreRecord>> recent_changes_;
   std::map<Feed, std::uint64_t> last_push_from_;
-  /// A target has said that it leaves since the last report.
-  bool leaving_news_ = false;
+  /// A target has said that it leaves, or a request entered or left the quarantine, since the last
+  /// report.
+  bool urgent_news_ = false;
+  /// Requests that the store has in quarantine, as far as the coordinator knows.
+  std::set<Fingerprint> recorded_quarantine_;
+  bool quarantine_read_ = false;
   bool registered_ = false;
   /// The addresses of all instances have been read from the store since the start.
   bool registry_read_ = false;
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -21,6 +21,7 @@
 #include "dogwoodport/fleet/limits/token_bucket.h"
 #include "dogwoodport/fleet/membership/target_directory.h"
 #include "dogwoodport/fleet/ownership/key_load.h"
+#include "dogwoodport/fleet/requests/quarantine.h"
 #include "dogwoodport/fleet/state/metadata_store.h"
 #include "dogwoodport/net/event_loop.h"
 
@@ -53,10 +54,11 @@
   std::vector<std::pair<std::uint64_t, std::vector<BucketRate>>> key_load;
   /// Targets that leave although their heartbeats do not say so yet.
   std::vector<LeavingTarget> leaving_targets;
+  QuarantineReport quarantine;
 
   MSGPACK_DEFINE_ARRAY(address, incarnation, number, stamp_us, data_centre, processor_share,
                        leading, leaving, store_age_ms, generation, revision, wants_table, urgent,
-                       accounts, key_load, leaving_targets)
+                       accounts, key_load, leaving_targets, quarantine)
 };
 
 /// Requests that an instance has in flight, by hash of the target. Sent more often than reports,
@@ -93,8 +95,9 @@
   /// Instances that pass on what the coordinator sends to their data centres. The instances of a
   /// data centre report to its relays too, so that these can date what they pass on.
   std::vector<std::string> relays;
+  QuarantineReport quarantine;
 
-  MSGPACK_DEFINE_ARRAY(address, number, present, accounts, leaving_targets, relays)
+  MSGPACK_DEFINE_ARRAY(address, number, present, accounts, leaving_targets, relays, quarantine)
 };
 
 /// What the coordinator has read from a feed of the store, for one other instance. It spares the
--- a/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
@@ -14,6 +14,7 @@
 #include "dogwoodport/fleet/membership/target_directory.h"
 #include "dogwoodport/fleet/ownership/key_load.h"
 #include "dogwoodport/fleet/ownership/key_table.h"
+#include "dogwoodport/fleet/requests/quarantine.h"
 #include "dogwoodport/fleet/routing/target_health.h"
 #include "dogwoodport/fleet/routing/target_selector.h"
 #include "dogwoodport/fleet/state/routing_config.h"
@@ -46,6 +47,7 @@
   AccountLimiter accounts;
   RetryBudget retry_budget;
   ColdLimiter cold;
+  Quarantine quarantine;
 
   /// Whether a target is cold, by its heartbeats or by what was seen of it.
   bool IsCold(const Target& target, TimePoint now) const;
--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <random>
 #include <unordered_map>
 
@@ -32,7 +33,9 @@
   kTimedOut,
   kTargetFailed,
   kShuttingDown,
+  kQuarantined,
 };
+inline constexpr std::size_t kRefusals = 12;
 
 /// Times of the data path.
 struct ForwarderSettings {
@@ -62,7 +65,7 @@
   /// Sends whose connection broke, or that got no usable answer.
   std::uint64_t lost_attempts = 0;
   std::uint64_t abandoned = 0;
-  std::array<std::uint64_t, 11> refusals{};
+  std::array<std::uint64_t, kRefusals> refusals{};
 };
 
 /// Name of a reason for logs, metrics and answers.
@@ -120,7 +123,10 @@
   enum class Placement { kFound, kNoRoom, kNoTarget };
 
   bool Admit(Request& request);
-  bool CheckAccount(Request& request);
+  /// Finds the account of the request's secret; refuses the request if there is none.
+  bool CheckSecret(Request& request);
+  /// Refuses the request if its account is above its rate.
+  bool CheckRate(Request& request);
   std::string ChooseService(const Route& route);
   void Start(const RequestPtr& request);
   Placement TrySend(Request& request);
@@ -139,6 +145,11 @@
   void Wait(Request& request, Placement placement);
   void OnAnswer(Request& request, net::HttpResponse response);
   void OnNotRun(Request& request, const net::HttpResponse& response);
+  /// The present attempt ended without an answer; `failure` is unset if it was given up.
+  void Suspect(const Request& request, std::optional<net::CallFailure> failure);
+  bool IsQuarantined(const Request& request) const;
+  /// Refuses the request if it is in quarantine; returns whether it is.
+  bool RefuseQuarantined(Request& request);
   void OnBroken(Request& request, net::CallFailure failure);
   /// Calls `OnTimer` at `at`, instead of at the time set before.
   void ArmTimer(Request& request, TimePoint at);
--- a/packages/fleet/include/dogwoodport/fleet/state/metadata_store.h
+++ b/packages/fleet/include/dogwoodport/fleet/state/metadata_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// The platform's store as the product uses it: four feeds of records with keys, of which the
+/// The platform's store as the product uses it: five feeds of records with keys, of which the
 /// newest record of each key is kept for good. The adapter implements it.
 
 #include <functional>
@@ -17,10 +17,11 @@
 
 /// What the store holds for the product.
 enum class Feed {
-  kOperators,  ///< Configuration and withdrawn data centres, written by operators.
-  kTargets,    ///< Heartbeats of the targets, written by them.
-  kInstances,  ///< Addresses of the instances, written by them.
-  kOwnership,  ///< Owners of the keys, written by the coordinator.
+  kOperators,   ///< Configuration and withdrawn data centres, written by operators.
+  kTargets,     ///< Heartbeats of the targets, written by them.
+  kInstances,   ///< Addresses of the instances, written by them.
+  kOwnership,   ///< Owners of the keys, written by the coordinator.
+  kQuarantine,  ///< Requests in quarantine by fingerprint, written by the coordinator.
 };
 
 /// One record. Without a value its key was deleted.
@@ -73,7 +74,8 @@
   /// Reads the newest record of each key.
   virtual void ReadNewest(Feed feed, std::function<void(ReadOutcome)> done) = 0;
 
-  /// Appends one record. With `expected_end` it is appended only if the feed ends there.
+  /// Appends one record; an empty `value` deletes the key. With `expected_end` it is appended only
+  /// if the feed ends there.
   virtual void Append(Feed feed, const std::string& key, const std::string& value,
                       std::optional<std::uint64_t> expected_end,
                       std::function<void(AppendOutcome)> done) = 0;
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -125,7 +125,7 @@
   callers_.limits().message.bodies = new net::BodyBudget(settings_.memory_bytes / kBodiesPart);
   forwarder_.on_target_leaving = [this](const std::string& id) {
     OnTargetChange(id, TargetChange::kLeaving);
-    leaving_news_ = true;
+    urgent_news_ = true;
   };
   peers_.on_prepare = [this](PeerReport& report) { PrepareReport(report); };
   peers_.on_report = [this](const Peer& peer) { OnReport(peer); };
@@ -200,6 +200,7 @@
   if (coordinator_.leading() && peers_.UsesDigests()) return;
   report.accounts = accounts_.MakeReport(now);
   report.leaving_targets = view_.directory.LeavingTargets();
+  report.quarantine = view_.quarantine.MakeReport(now);
   for (auto& [service, rates] : view_.key_load.Busiest(now, settings_.reported_buckets)) {
     report.key_load.emplace_back(HashOf(service), std::move(rates));
   }
@@ -208,16 +209,18 @@
 void Instance::PrepareDigest(PeerDigest& digest) {
   digest.accounts = accounts_.MakeDigest(loop_.now());
   digest.leaving_targets = view_.directory.LeavingTargets();
+  digest.quarantine = view_.quarantine.MakeDigest(loop_.now());
 }
 
 void Instance::OnDigest(const PeerDigest& digest, const Peer& sender) {
   accounts_.OnDigest({digest.address, sender.report.incarnation}, digest.accounts, loop_.now());
   MarkLeaving(digest.leaving_targets);
+  view_.quarantine.OnReport(digest.quarantine, loop_.now());
 }
 
 void Instance::HastenReports() {
-  const bool leaving_news = std::exchange(leaving_news_, false);
-  if (!view_.accounts.ReportIsUrgent() && !leaving_news) return;
+  const bool urgent_news = std::exchange(urgent_news_, false);
+  if (!view_.accounts.ReportIsUrgent() && !urgent_news) return;
   if (coordinator_.leading()) {
     peers_.HastenDigest();
   } else if (peers_.UsesDigests() || !peers_.IsLarge()) {
@@ -251,6 +254,7 @@
   coordinator_.Tick();
   CheckCoordinator();
   peers_.SetLeading(coordinator_.leading());
+  LogQuarantine();
   HastenReports();
   operators_.SetAlwaysReads(coordinator_.leading());
   targets_.SetAlwaysReads(coordinator_.leading());
@@ -310,6 +314,7 @@
     it = unused ? view_.health.erase(it) : std::next(it);
   }
   view_.directory.ForgetLeaving(loop_.now(), kLeavingRetention);
+  MaintainQuarantine();
   forwarder_.Maintain();
   caller_.Maintain();
   LogStatus();
@@ -364,6 +369,7 @@
   line("store_calls_total", store_.calls());
   line("peers_reachable", peers_.reachable());
   line("log_lines_dropped_total", log_.dropped());
+  line("quarantined_requests", view_.quarantine.QuarantinedFor(Duration{0}, loop_.now()).size());
   line("config_version", view_.config ? view_.config->version() : 0);
   line("config_age_ms",
        static_cast<std::uint64_t>((loop_.now() - view_.config_verified_at).count() / 1000));
--- a/packages/fleet/src/instance_feeds.cc
+++ b/packages/fleet/src/instance_feeds.cc
@@ -121,6 +121,9 @@
               {"change", NameOf(change)},
               {"directory_version", view_.directory.version()}});
   if (change == TargetChange::kRestarted) view_.health[id].OnRestart();
+  if (change == TargetChange::kRestarted || change == TargetChange::kGone) {
+    view_.quarantine.OnTargetLost(id, loop_.now());
+  }
   if (change == TargetChange::kGone) ForgetTarget(id);
 }
 
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -49,6 +49,7 @@
   const PeerReport& report = peer.report;
   accounts_.OnReport({report.address, report.incarnation}, report.accounts, loop_.now());
   MarkLeaving(report.leaving_targets);
+  view_.quarantine.OnReport(report.quarantine, loop_.now());
   if (report.leading && coordinator_.leading() && report.generation > view_.keys.generation) {
     coordinator_.StepDown("another instance leads a newer generation");
     leaderless_since_ = loop_.now() + kAfterStepDown;
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -11,10 +11,10 @@
 
 namespace {
 
-constexpr std::array<const char*, 11> kRefusalNames = {
+constexpr std::array<const char*, kRefusals> kRefusalNames = {
     "no_configuration", "unknown_route", "not_authorized", "stale_secrets",
     "malformed",        "over_limit",    "no_target",      "overloaded",
-    "timed_out",        "target_failed", "shutting_down"};
+    "timed_out",        "target_failed", "shutting_down",  "quarantined"};
 
 /// Weight of the newest sample in the usual time of a service.
 constexpr double kLatencyWeight = 0.05;
@@ -239,6 +239,9 @@
     return;
   }
   request.may_have_run = true;
+  if (view_.quarantine.any_suspects()) {
+    view_.quarantine.OnAnswered(request.fingerprint(), now());
+  }
   const std::string service = request.service->name;
   ServiceState& state = services_[service];
   state.completions.Add(now());
@@ -288,6 +291,7 @@
 
 bool Forwarder::MayRepeat(const Request& request, bool arrived) {
   if (request.ended || request.sends >= request.route->attempts) return false;
+  if (IsQuarantined(request)) return false;
   if (request.due_at - now() < kShortestAttempt) return false;
   return !arrived || view_.retry_budget.Take(request.service->name, now());
 }
@@ -320,6 +324,7 @@
     return;
   }
   request.may_have_run = request.may_have_run || sent;
+  if (sent) Suspect(request, std::nullopt);
   LogRequest(LogLevel::kWarning, "attempt_timed_out", request, {{"may_have_run", sent}});
   // The target works on it until the end; only the connection tells it to stop.
   EndAttempt(request, SendResult::kTimedOut);
@@ -343,6 +348,7 @@
   LogRequest(LogLevel::kInfo, "abandoned", request, {});
   CountEnd(request, "abandoned");
   if (connection) {
+    if (connection->any_sent()) Suspect(request, std::nullopt);
     EndAttempt(request, SendResult::kCancelled);
     connection->Abort();
   }
@@ -360,11 +366,12 @@
   ++counters_.refusals[static_cast<std::size_t>(refusal)];
   const bool retry_helps = code == status::kUnavailable || code == status::kTooManyRequests;
   if (!retry_helps) retry_after = Duration{0};
-  LogRequest(LogLevel::kWarning, "refused", request,
-             {{"status", code},
-              {"reason", NameOf(refusal)},
-              {"retry_after_ms", retry_after.count() / 1000},
-              {"config_age_ms", (now() - view_.config_verified_at).count() / 1000}});
+  nlohmann::json fields = {{"status", code},
+                           {"reason", NameOf(refusal)},
+                           {"retry_after_ms", retry_after.count() / 1000},
+                           {"config_age_ms", (now() - view_.config_verified_at).count() / 1000}};
+  if (refusal == Refusal::kQuarantined) fields["fingerprint"] = ToText(request.fingerprint());
+  LogRequest(LogLevel::kWarning, "refused", request, std::move(fields));
   CountEnd(request, NameOf(refusal));
   Finish(request,
          protocol_.MakeAnswer(code, NameOf(refusal), request.may_have_run,
@@ -411,7 +418,8 @@
   if (it != services_.end() && !it->second.queue.empty()) {
     it->second.queue.Offer(
         [this](Waiter& waiter) {
-          return TrySend(static_cast<Request&>(waiter)) == Placement::kFound;
+          Request& request = static_cast<Request&>(waiter);
+          return RefuseQuarantined(request) || TrySend(request) == Placement::kFound;
         },
         settings_.most_misses);
   }
--- a/packages/fleet/src/requests/forwarder_admission.cc
+++ b/packages/fleet/src/requests/forwarder_admission.cc
@@ -1,4 +1,4 @@
-// Whether the forwarder takes a request: route, client account, service.
+// Whether the forwarder takes a request: route, client account, quarantine, service.
 
 #include <algorithm>
 
@@ -33,9 +33,10 @@
            kDefaultRetry);
     return false;
   }
-  if (!request.route->is_public && request.config->has_accounts() && !CheckAccount(request)) {
-    return false;
-  }
+  const bool needs_account = !request.route->is_public && request.config->has_accounts();
+  if (needs_account && !CheckSecret(request)) return false;
+  if (RefuseQuarantined(request)) return false;
+  if (needs_account && !CheckRate(request)) return false;
   if (request.caller.patience_malformed || request.caller.request_id.empty()) {
     Refuse(request, status::kBadRequest, Refusal::kMalformed, Duration{0});
     return false;
@@ -58,7 +59,7 @@
   return true;
 }
 
-bool Forwarder::CheckAccount(Request& request) {
+bool Forwarder::CheckSecret(Request& request) {
   const Duration age = now() - view_.config_verified_at;
   if (age > settings_.longest_secret_age) {
     Refuse(request, status::kUnavailable, Refusal::kStaleSecrets, kDefaultRetry);
@@ -75,12 +76,42 @@
   }
   request.account = account->name;
   request.priority = account->priority.value_or(request.route->priority);
-  const AccountLimiter::Decision decision = view_.accounts.Admit(account->name, now());
+  return true;
+}
+
+bool Forwarder::CheckRate(Request& request) {
+  const AccountLimiter::Decision decision = view_.accounts.Admit(request.account, now());
   if (decision.admitted) return true;
   Refuse(request, status::kTooManyRequests, Refusal::kOverAccountLimit, decision.retry_after);
   return false;
 }
 
+void Forwarder::Suspect(const Request& request, std::optional<net::CallFailure> failure) {
+  using net::CallFailure;
+  Quarantine& quarantine = view_.quarantine;
+  if (failure == CallFailure::kNotConnected) {
+    quarantine.OnTargetLost(request.target_id, now());
+  } else if (failure == CallFailure::kBroken) {
+    quarantine.OnBroken(request.fingerprint(), request.target_id, request.target_incarnation,
+                        now());
+  } else if (failure != CallFailure::kStale) {
+    // A target that is full, slow or sends nonsense may live on.
+    quarantine.OnSilent(request.fingerprint(), request.target_id, request.target_incarnation,
+                        request.sent_at, now());
+  }
+}
+
+bool Forwarder::IsQuarantined(const Request& request) const {
+  return view_.quarantine.any_quarantined() &&
+         view_.quarantine.TimeLeft(request.fingerprint(), now()).has_value();
+}
+
+bool Forwarder::RefuseQuarantined(Request& request) {
+  if (!IsQuarantined(request)) return false;
+  GiveUp(request, Refusal::kQuarantined, *view_.quarantine.TimeLeft(request.fingerprint(), now()));
+  return true;
+}
+
 std::string Forwarder::ChooseService(const Route& route) {
   double total = 0;
   for (const Split& it : route.splits) total += it.weight;
--- a/tests/fleet/unit-crashing_request.cpp
+++ b/tests/fleet/unit-crashing_request.cpp
@@ -37,6 +37,7 @@
     ++entry.incarnation;
     world.view.directory.Apply(entry, world.loop.now());
     world.view.health[id].OnRestart();
+    world.view.quarantine.OnTargetLost(id, world.loop.now());
   }
 
   static constexpr std::size_t targets = 8;
--- /dev/null
+++ b/tests/fleet/unit-quarantine.cpp
@@ -0,0 +1,178 @@
+#include <catch2/catch.hpp>
+
+#include "dogwoodport/fleet/requests/quarantine.h"
+
+namespace dogwoodport::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Fingerprint kRequest = 7;
+constexpr Fingerprint kOther = 8;
+
+TimePoint At(Duration since_start) { return TimePoint(seconds(100) + since_start); }
+
+/// Loses `n` targets under a request, one a second from `begin` on.
+void Lose(Quarantine& quarantine, Fingerprint fingerprint, int n, Duration begin) {
+  for (int i = 0; i < n; ++i) {
+    const Duration at = begin + seconds(i);
+    quarantine.OnBroken(fingerprint, "t" + std::to_string(at.count()), 1, At(at));
+  }
+}
+
+bool Refuses(const Quarantine& quarantine, Fingerprint fingerprint, Duration at) {
+  return quarantine.TimeLeft(fingerprint, At(at)).has_value();
+}
+
+TEST_CASE("the third target that is lost under a request puts it in quarantine", "[quarantine]") {
+  const auto [lost, refused] = GENERATE(table<int, bool>({{1, false}, {2, false}, {3, true}}));
+  Quarantine quarantine;
+  Lose(quarantine, kRequest, lost, seconds(0));
+  CHECK(Refuses(quarantine, kRequest, seconds(4)) == refused);
+  CHECK_FALSE(Refuses(quarantine, kOther, seconds(4)));
+}
+
+TEST_CASE("a target counts once in an incarnation", "[quarantine]") {
+  Quarantine quarantine;
+  const bool starts_again = GENERATE(false, true);
+  for (std::uint64_t i = 0; i < 5; ++i) {
+    quarantine.OnBroken(kRequest, "t", starts_again ? i : 1, At(seconds(i)));
+  }
+  CHECK(Refuses(quarantine, kRequest, seconds(6)) == starts_again);
+}
+
+/// How attempts end and when their targets turn out to be lost.
+struct SilentCase {
+  const char* what;
+  Duration ended;
+  Duration lost;
+  bool counts;
+};
+
+TEST_CASE("an attempt without an answer counts if its target is lost", "[quarantine]") {
+  const auto it = GENERATE(values<SilentCase>({
+      {"lost soon after", seconds(1), seconds(4), true},
+      {"lost before the end was seen", seconds(1), milliseconds(500), true},
+      {"lost before the attempt began", seconds(2), milliseconds(-500), false},
+      {"lost much later", seconds(1), seconds(9), false},
+      {"never lost", seconds(1), seconds(1'000), false},
+  }));
+  INFO(it.what);
+  Quarantine quarantine;
+  for (const char* const target : {"a", "b", "c"}) {
+    if (it.lost < it.ended) quarantine.OnTargetLost(target, At(it.lost));
+    quarantine.OnSilent(kRequest, target, 1, At(Duration{0}), At(it.ended));
+    if (it.lost >= it.ended) quarantine.OnTargetLost(target, At(it.lost));
+  }
+  CHECK(Refuses(quarantine, kRequest, seconds(9)) == it.counts);
+}
+
+TEST_CASE("a request that a target has answered is released and no longer suspect",
+          "[quarantine]") {
+  Quarantine quarantine;
+  Lose(quarantine, kRequest, 3, seconds(0));
+  REQUIRE(Refuses(quarantine, kRequest, seconds(3)));
+  quarantine.OnAnswered(kRequest, At(seconds(3)));
+  CHECK_FALSE(Refuses(quarantine, kRequest, seconds(3)));
+  Lose(quarantine, kRequest, 5, seconds(4));
+  CHECK_FALSE(Refuses(quarantine, kRequest, seconds(10)));
+  Lose(quarantine, kRequest, 3, seconds(70));
+  CHECK(Refuses(quarantine, kRequest, seconds(75)));
+}
+
+TEST_CASE("losses long ago do not count", "[quarantine]") {
+  Quarantine quarantine;
+  Lose(quarantine, kRequest, 2, seconds(0));
+  quarantine.Expire(At(seconds(400)));
+  Lose(quarantine, kRequest, 1, seconds(401));
+  CHECK_FALSE(Refuses(quarantine, kRequest, seconds(402)));
+}
+
+TEST_CASE("after the quarantine one more loss is enough", "[quarantine]") {
+  Quarantine quarantine;
+  Lose(quarantine, kRequest, 3, seconds(0));
+  REQUIRE(Refuses(quarantine, kRequest, seconds(601)));
+  CHECK_FALSE(Refuses(quarantine, kRequest, seconds(603)));
+  quarantine.Expire(At(seconds(603)));
+  const bool answered = GENERATE(false, true);
+  if (answered) quarantine.OnAnswered(kRequest, At(seconds(604)));
+  Lose(quarantine, kRequest, 1, seconds(700));
+  CHECK(Refuses(quarantine, kRequest, seconds(701)) == !answered);
+}
+
+TEST_CASE("instances that lose one target each refuse the request together", "[quarantine]") {
+  std::vector<Quarantine> instances(4);
+  for (std::size_t i = 0; i < 3; ++i) {
+    instances[i].OnBroken(kRequest, "t" + std::to_string(i), 1, At(seconds(i)));
+    // The report after the next one arrives.
+    for (Quarantine& it : instances) {
+      if (&it != &instances[i]) {
+        it.OnReport(instances[i].MakeReport(At(seconds(i) + milliseconds(500))),
+                    At(seconds(i) + milliseconds(501)));
+      }
+    }
+  }
+  for (const Quarantine& it : instances) CHECK(Refuses(it, kRequest, seconds(4)));
+  SECTION("one that starts again hears it from any other") {
+    Quarantine restarted;
+    restarted.OnReport(instances[3].MakeReport(At(seconds(60))), At(seconds(60)));
+    CHECK(Refuses(restarted, kRequest, seconds(60)));
+  }
+  SECTION("an answer at one releases it at all, also against older news") {
+    const QuarantineReport old = instances[0].MakeReport(At(seconds(5)));
+    instances[1].OnAnswered(kRequest, At(seconds(5)));
+    const QuarantineReport news = instances[1].MakeReport(At(seconds(6)));
+    for (Quarantine& it : instances) it.OnReport(news, At(seconds(6)));
+    for (Quarantine& it : instances) it.OnReport(old, At(seconds(7)));
+    for (const Quarantine& it : instances) CHECK_FALSE(Refuses(it, kRequest, seconds(8)));
+  }
+  SECTION("reports do not prolong it") {
+    for (Duration at = seconds(4); at < seconds(610); at += milliseconds(250)) {
+      for (std::size_t i = 0; i < instances.size(); ++i) {
+        const QuarantineReport report = instances[i].MakeReport(At(at));
+        for (std::size_t k = 0; k < instances.size(); ++k) {
+          if (k != i) instances[k].OnReport(report, At(at + milliseconds(1)));
+        }
+        instances[i].Expire(At(at));
+      }
+    }
+    for (const Quarantine& it : instances) CHECK_FALSE(Refuses(it, kRequest, seconds(610)));
+  }
+}
+
+TEST_CASE("a coordinator tells its conclusion and the answers that others have seen",
+          "[quarantine]") {
+  Quarantine coordinator;
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    Quarantine instance;
+    instance.OnBroken(kRequest, "t" + std::to_string(i), 1, At(seconds(1)));
+    coordinator.OnReport(instance.MakeReport(At(seconds(1))), At(seconds(1)));
+  }
+  Quarantine follower;
+  const QuarantineReport digest = coordinator.MakeDigest(At(seconds(2)));
+  CHECK(digest.losses.empty());
+  follower.OnReport(digest, At(seconds(2)));
+  REQUIRE(Refuses(follower, kRequest, seconds(2)));
+  Quarantine instance;
+  Lose(instance, kRequest, 1, seconds(1));
+  instance.OnAnswered(kRequest, At(seconds(3)));
+  coordinator.OnReport(instance.MakeReport(At(seconds(3))), At(seconds(3)));
+  follower.OnReport(coordinator.MakeDigest(At(seconds(4))), At(seconds(4)));
+  CHECK_FALSE(Refuses(follower, kRequest, seconds(4)));
+}
+
+TEST_CASE("changes are told once, in their order", "[quarantine]") {
+  Quarantine quarantine;
+  Lose(quarantine, kRequest, 4, seconds(0));
+  quarantine.OnAnswered(kRequest, At(seconds(5)));
+  const std::vector<QuarantineChange> changes = quarantine.TakeChanges();
+  REQUIRE(changes.size() == 2);
+  CHECK(changes[0].kind == QuarantineChange::Kind::kLosses);
+  CHECK(changes[0].losses == 3);
+  CHECK(changes[1].kind == QuarantineChange::Kind::kAnswered);
+  CHECK(quarantine.TakeChanges().empty());
+}
+
+}  // namespace
+}  // namespace dogwoodport::fleet
