Play requests that end their targets in the soak, and test further lines of the users' rules

The soak sends four requests that end each target which begins them, at random instances, through all faults and the recovery, and counts those that run late. Their choice has a random engine of its own, so the kept seeds play the faults that they played before.

--- a/tests/net/unit-http_client.cpp
+++ b/tests/net/unit-http_client.cpp
@@ -106,6 +106,34 @@
   CHECK(pool.Count(target.address()) == 0);
 }
 
+TEST_CASE("a connection that was answered before the request was sent whole is not used again",
+          "[http_client]") {
+  // More than the buffers of a connection hold.
+  const std::size_t size = GENERATE(std::size_t{1}, std::size_t{64'000'000});
+  EventLoop loop;
+  Poco::Net::ServerSocket target(Poco::Net::SocketAddress("127.0.0.1:0"));
+  const std::string address = target.address().toString();
+  ConnectionPool pool(loop, PoolLimits{});
+  Outcome outcome;
+  const ClientConnectionPtr connection = pool.Acquire(address);
+  connection->Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(size) +
+                       "\r\n\r\n" + std::string(size, 'x'),
+                   false, &outcome);
+  Poco::Net::StreamSocket accepted;
+  loop.RunAfter(std::chrono::milliseconds(50), [&] {
+    accepted = target.acceptConnection();
+    const std::string answer = Answer("1", "early");
+    accepted.sendBytes(answer.data(), static_cast<int>(answer.size()));
+  });
+  loop.RunAfter(std::chrono::seconds(10), [&] { loop.Stop(); });
+  loop.Run([&] {
+    if (outcome.ended()) loop.Stop();
+  });
+  REQUIRE(outcome.response);
+  CHECK(outcome.response->body == "early");
+  CHECK(pool.IdleCount(address) == (size == 1 ? 1 : 0));
+}
+
 TEST_CASE("nothing has left when there is no connection", "[http_client]") {
   EventLoop loop;
   std::string address;
--- a/tools/soak/faults.cc
+++ b/tools/soak/faults.cc
@@ -10,6 +10,16 @@
 using platform::standin::StoreMode;
 using platform::standin::TargetFaults;
 
+namespace {
+
+/// Requests that end their targets: pause between them, services that get them, and different ones
+/// of each service.
+constexpr Duration kDeadlyPause{900'000};
+constexpr std::size_t kDeadlyServices = 2;
+constexpr std::size_t kDeadlyRequests = 2;
+
+}  // namespace
+
 const std::vector<Faults::Kind>& Faults::Kinds() {
   static const std::vector<Kind> kinds = {
       {"kill instance", &Faults::KillInstance},
@@ -40,11 +50,12 @@
 
 Faults::Faults(net::EventLoop& loop, platform::standin::FleetWorld& world, std::uint64_t seed,
                std::ostream& out)
-    : loop_(loop), world_(world), random_(seed), out_(out) {}
+    : loop_(loop), world_(world), random_(seed), deadly_random_(seed), out_(out) {}
 
 void Faults::Play(Duration span) {
   const TimePoint end = loop_.Refresh() + span;
   const TimePoint start = loop_.now();
+  KeepSendingDeadly();
   while (loop_.now() < end) {
     const Kind& kind = Kinds()[Pick(Kinds().size())];
     out_ << (loop_.now() - start).count() / 1000 << " ms: " << kind.name << "\n";
@@ -56,6 +67,12 @@
   for (const auto& [number, mend] : mends) mend();
 }
 
+void Faults::KeepSendingDeadly() {
+  world_.SendDeadly(deadly_random_() % world_.instances(), deadly_random_() % kDeadlyServices,
+                    static_cast<int>(deadly_random_() % kDeadlyRequests));
+  loop_.RunAfter(kDeadlyPause, [this] { KeepSendingDeadly(); });
+}
+
 void Faults::MendAfter(Duration span, std::function<void()> mend) {
   world_.OnDisturbance(span);
   const int number = next_mend_++;
--- a/tools/soak/faults.h
+++ b/tools/soak/faults.h
@@ -18,7 +18,8 @@
   Faults(net::EventLoop& loop, platform::standin::FleetWorld& world, std::uint64_t seed,
          std::ostream& out);
 
-  /// Plays faults for `span` and then mends what is still broken.
+  /// Plays faults for `span` and then mends what is still broken. Requests that end their targets
+  /// come on and on, also afterwards.
   void Play(Duration span);
 
  private:
@@ -50,6 +51,8 @@
   void ChangeConfig();
   void RotateSecret();
   void WithdrawDataCentre();
+  /// Sends one of a few requests that end their targets, at any instance, and goes on doing so.
+  void KeepSendingDeadly();
 
   std::size_t Pick(std::size_t n) {
     return std::uniform_int_distribution<std::size_t>(0, n - 1)(random_);
@@ -66,6 +69,8 @@
   net::EventLoop& loop_;
   platform::standin::FleetWorld& world_;
   std::mt19937_64 random_;
+  /// For what goes on beside the faults, whose order depends on the seed alone.
+  std::mt19937_64 deadly_random_;
   std::ostream& out_;
   std::map<int, std::function<void()>> mends_;
   int next_mend_ = 0;
