Do not take a request for the cause of a loss that came before it

Cause: when many targets are lost at once, kept connections to them break one by one at their next use; a request that was sent three times in such a moment counted as the cause of three losses. Change: what was sent to a target after the first break of a connection to it, and before its next answer, is no loss under that request; the first breaks are known from the reports too. Evidence: fleet/unit-quarantine has the case; it fails without the check (the request is refused).

--- a/packages/fleet/include/dogwoodport/fleet/requests/quarantine.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/quarantine.h
@@ -24,7 +24,8 @@
   std::size_t most_losses = 3;
   /// Time within which they are lost.
   Duration loss_window{300'000'000};
-  /// Time between the end of an attempt and the news that its target was lost.
+  /// Time between the end of an attempt and the news that its target was lost, and time after which
+  /// a target whose connection broke counts as present again.
   Duration silence_window{5'000'000};
   /// Time for which a request is refused. For as long again, one more loss is enough.
   Duration quarantine_time{600'000'000};
@@ -87,21 +88,23 @@
 
   /// Returns how long requests with `fingerprint` are still refused; nothing if they are not.
   std::optional<Duration> TimeLeft(Fingerprint fingerprint, TimePoint now) const;
-  /// Whether any request is refused, or suspect; otherwise no fingerprint is needed.
+  /// Whether any request is refused, or any suspect; otherwise no fingerprint is needed.
   bool any_quarantined() const noexcept { return quarantined_ > 0; }
   bool any_suspects() const noexcept { return !suspects_.empty(); }
 
-  /// The connection to a target broke while it may have run the request.
+  /// The connection to a target broke while it may have run a request that was sent at `sent_at`.
+  /// A target is lost once only: what was sent after the first break is not its cause.
   void OnBroken(Fingerprint fingerprint, const std::string& target, std::uint64_t incarnation,
-                TimePoint now);
+                TimePoint sent_at, TimePoint now);
   /// An attempt that began at `sent_at` ended without an answer for a reason that may not be the
   /// target's end. It counts if the target was lost meanwhile or turns out to be lost.
   void OnSilent(Fingerprint fingerprint, const std::string& target, std::uint64_t incarnation,
                 TimePoint sent_at, TimePoint now);
   /// A target cannot be reached, has left or has started again.
   void OnTargetLost(const std::string& target, TimePoint now);
-  /// A target has run the request to its end.
-  void OnAnswered(Fingerprint fingerprint, TimePoint now);
+  /// A target has run the request to its end, so that it has not been lost either.
+  void OnAnswered(Fingerprint fingerprint, const std::string& target, std::uint64_t incarnation,
+                  TimePoint now);
 
   /// What this instance has observed lately, and the requests in quarantine.
   QuarantineReport MakeReport(TimePoint now) const;
@@ -132,6 +135,7 @@
     Fingerprint fingerprint = 0;
     std::string target;
     std::uint64_t incarnation = 0;
+    TimePoint sent_at{};
     TimePoint at{};
   };
   template <typename T>
@@ -153,6 +157,8 @@
   std::size_t quarantined_ = 0;
   /// Attempts without an answer whose targets may turn out to be lost, oldest first.
   std::deque<Silent> silent_;
+  /// Time of the first break, by hash of the target and its incarnation.
+  std::unordered_map<std::uint64_t, TimePoint> broken_at_;
   /// Time of the latest loss, by target.
   std::unordered_map<std::string, TimePoint> lost_at_;
   /// Own losses; own answers, and those that others have reported.
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -240,7 +240,8 @@
   }
   request.may_have_run = true;
   if (view_.quarantine.any_suspects()) {
-    view_.quarantine.OnAnswered(request.fingerprint(), now());
+    view_.quarantine.OnAnswered(request.fingerprint(), request.target_id,
+                                request.target_incarnation, now());
   }
   const std::string service = request.service->name;
   ServiceState& state = services_[service];
--- a/packages/fleet/src/requests/forwarder_admission.cc
+++ b/packages/fleet/src/requests/forwarder_admission.cc
@@ -93,7 +93,7 @@
     quarantine.OnTargetLost(request.target_id, now());
   } else if (failure == CallFailure::kBroken) {
     quarantine.OnBroken(request.fingerprint(), request.target_id, request.target_incarnation,
-                        now());
+                        request.sent_at, now());
   } else if (failure != CallFailure::kStale) {
     // A target that is full, slow or sends nonsense may live on.
     quarantine.OnSilent(request.fingerprint(), request.target_id, request.target_incarnation,
--- a/packages/fleet/src/requests/quarantine.cc
+++ b/packages/fleet/src/requests/quarantine.cc
@@ -48,8 +48,10 @@
 }
 
 void Quarantine::OnBroken(Fingerprint fingerprint, const std::string& target,
-                          std::uint64_t incarnation, TimePoint now) {
+                          std::uint64_t incarnation, TimePoint sent_at, TimePoint now) {
   const TargetLoss loss{fingerprint, HashOfIncarnation(target, incarnation)};
+  const TimePoint broken_at = broken_at_.try_emplace(loss.target, now).first->second;
+  if (broken_at < sent_at && now - broken_at <= settings_.silence_window) return;
   losses_.push_back({now, loss});
   AddLoss(loss, now);
 }
@@ -58,11 +60,11 @@
                           std::uint64_t incarnation, TimePoint sent_at, TimePoint now) {
   const auto lost = lost_at_.find(target);
   if (lost != lost_at_.end() && lost->second >= sent_at) {
-    OnBroken(fingerprint, target, incarnation, now);
+    OnBroken(fingerprint, target, incarnation, sent_at, now);
     return;
   }
   if (silent_.size() >= kMostSilent) silent_.pop_front();
-  silent_.push_back({fingerprint, target, incarnation, now});
+  silent_.push_back({fingerprint, target, incarnation, sent_at, now});
 }
 
 void Quarantine::OnTargetLost(const std::string& target, TimePoint now) {
@@ -76,10 +78,14 @@
     if (now - it->at <= settings_.silence_window) lost.push_back(*it);
     it = silent_.erase(it);
   }
-  for (const Silent& it : lost) OnBroken(it.fingerprint, it.target, it.incarnation, now);
+  for (const Silent& it : lost) {
+    OnBroken(it.fingerprint, it.target, it.incarnation, it.sent_at, now);
+  }
 }
 
-void Quarantine::OnAnswered(Fingerprint fingerprint, TimePoint now) {
+void Quarantine::OnAnswered(Fingerprint fingerprint, const std::string& target,
+                            std::uint64_t incarnation, TimePoint now) {
+  if (!broken_at_.empty()) broken_at_.erase(HashOfIncarnation(target, incarnation));
   const auto it = suspects_.find(fingerprint);
   if (it == suspects_.end()) return;
   // Once told, an answer is told again only when it has become doubtful.
@@ -158,7 +164,13 @@
     reported_answers_.push_back({now, it});
     Clear(it, now);
   }
-  for (const TargetLoss& it : report.losses) AddLoss(it, now);
+  for (const TargetLoss& it : report.losses) {
+    // News come several times; the target may have answered since it was first told.
+    const auto known = suspects_.find(it.fingerprint);
+    const bool is_new = known == suspects_.end() || known->second.losses.count(it.target) == 0;
+    if (is_new) broken_at_.try_emplace(it.target, now);
+    AddLoss(it, now);
+  }
   for (const QuarantinedRequest& it : report.quarantined) {
     if (it.left_ms < kShortestTakenOverMs) continue;
     if (suspects_.count(it.fingerprint) == 0 && !HasRoom()) continue;
@@ -186,8 +198,9 @@
   while (!silent_.empty() && now - silent_.front().at > settings_.silence_window) {
     silent_.pop_front();
   }
-  std::erase_if(lost_at_,
-                [&](const auto& it) { return now - it.second > settings_.silence_window; });
+  const auto is_past = [&](const auto& it) { return now - it.second > settings_.silence_window; };
+  std::erase_if(broken_at_, is_past);
+  std::erase_if(lost_at_, is_past);
   DropOldNews(losses_, now, settings_.news_time);
   DropOldNews(answers_, now, settings_.news_time);
   DropOldNews(reported_answers_, now, settings_.news_time);
--- a/tests/fleet/unit-quarantine.cpp
+++ b/tests/fleet/unit-quarantine.cpp
@@ -17,7 +17,7 @@
 void Lose(Quarantine& quarantine, Fingerprint fingerprint, int n, Duration begin) {
   for (int i = 0; i < n; ++i) {
     const Duration at = begin + seconds(i);
-    quarantine.OnBroken(fingerprint, "t" + std::to_string(at.count()), 1, At(at));
+    quarantine.OnBroken(fingerprint, "t" + std::to_string(at.count()), 1, At(at), At(at));
   }
 }
 
@@ -37,7 +37,7 @@
   Quarantine quarantine;
   const bool starts_again = GENERATE(false, true);
   for (std::uint64_t i = 0; i < 5; ++i) {
-    quarantine.OnBroken(kRequest, "t", starts_again ? i : 1, At(seconds(i)));
+    quarantine.OnBroken(kRequest, "t", starts_again ? i : 1, At(seconds(i)), At(seconds(i)));
   }
   CHECK(Refuses(quarantine, kRequest, seconds(6)) == starts_again);
 }
@@ -68,12 +68,30 @@
   CHECK(Refuses(quarantine, kRequest, seconds(9)) == it.counts);
 }
 
+TEST_CASE("a request that was sent to targets that were lost before is not their cause",
+          "[quarantine]") {
+  // Many targets end at once; connections to them that are kept break at their next use.
+  const bool reported = GENERATE(false, true);
+  const bool answers_again = GENERATE(false, true);
+  Quarantine quarantine;
+  Quarantine other;
+  for (const char* const target : {"a", "b", "c"}) {
+    (reported ? other : quarantine).OnBroken(kOther, target, 1, At(Duration{0}), At(seconds(1)));
+  }
+  quarantine.OnReport(other.MakeReport(At(seconds(1))), At(seconds(1)));
+  for (const char* const target : {"a", "b", "c"}) {
+    if (answers_again) quarantine.OnAnswered(kOther, target, 1, At(seconds(2)));
+    quarantine.OnBroken(kRequest, target, 1, At(seconds(2)), At(seconds(2)));
+  }
+  CHECK(Refuses(quarantine, kRequest, seconds(3)) == answers_again);
+}
+
 TEST_CASE("a request that a target has answered is released and no longer suspect",
           "[quarantine]") {
   Quarantine quarantine;
   Lose(quarantine, kRequest, 3, seconds(0));
   REQUIRE(Refuses(quarantine, kRequest, seconds(3)));
-  quarantine.OnAnswered(kRequest, At(seconds(3)));
+  quarantine.OnAnswered(kRequest, "served", 1, At(seconds(3)));
   CHECK_FALSE(Refuses(quarantine, kRequest, seconds(3)));
   Lose(quarantine, kRequest, 5, seconds(4));
   CHECK_FALSE(Refuses(quarantine, kRequest, seconds(10)));
@@ -96,7 +114,7 @@
   CHECK_FALSE(Refuses(quarantine, kRequest, seconds(603)));
   quarantine.Expire(At(seconds(603)));
   const bool answered = GENERATE(false, true);
-  if (answered) quarantine.OnAnswered(kRequest, At(seconds(604)));
+  if (answered) quarantine.OnAnswered(kRequest, "served", 1, At(seconds(604)));
   Lose(quarantine, kRequest, 1, seconds(700));
   CHECK(Refuses(quarantine, kRequest, seconds(701)) == !answered);
 }
@@ -104,7 +122,7 @@
 TEST_CASE("instances that lose one target each refuse the request together", "[quarantine]") {
   std::vector<Quarantine> instances(4);
   for (std::size_t i = 0; i < 3; ++i) {
-    instances[i].OnBroken(kRequest, "t" + std::to_string(i), 1, At(seconds(i)));
+    instances[i].OnBroken(kRequest, "t" + std::to_string(i), 1, At(seconds(i)), At(seconds(i)));
     // The report after the next one arrives.
     for (Quarantine& it : instances) {
       if (&it != &instances[i]) {
@@ -121,7 +139,7 @@
   }
   SECTION("an answer at one releases it at all, also against older news") {
     const QuarantineReport old = instances[0].MakeReport(At(seconds(5)));
-    instances[1].OnAnswered(kRequest, At(seconds(5)));
+    instances[1].OnAnswered(kRequest, "served", 1, At(seconds(5)));
     const QuarantineReport news = instances[1].MakeReport(At(seconds(6)));
     for (Quarantine& it : instances) it.OnReport(news, At(seconds(6)));
     for (Quarantine& it : instances) it.OnReport(old, At(seconds(7)));
@@ -146,7 +164,7 @@
   Quarantine coordinator;
   for (std::uint64_t i = 0; i < 3; ++i) {
     Quarantine instance;
-    instance.OnBroken(kRequest, "t" + std::to_string(i), 1, At(seconds(1)));
+    instance.OnBroken(kRequest, "t" + std::to_string(i), 1, At(seconds(1)), At(seconds(1)));
     coordinator.OnReport(instance.MakeReport(At(seconds(1))), At(seconds(1)));
   }
   Quarantine follower;
@@ -156,7 +174,7 @@
   REQUIRE(Refuses(follower, kRequest, seconds(2)));
   Quarantine instance;
   Lose(instance, kRequest, 1, seconds(1));
-  instance.OnAnswered(kRequest, At(seconds(3)));
+  instance.OnAnswered(kRequest, "served", 1, At(seconds(3)));
   coordinator.OnReport(instance.MakeReport(At(seconds(3))), At(seconds(3)));
   follower.OnReport(coordinator.MakeDigest(At(seconds(4))), At(seconds(4)));
   CHECK_FALSE(Refuses(follower, kRequest, seconds(4)));
@@ -165,7 +183,7 @@
 TEST_CASE("changes are told once, in their order", "[quarantine]") {
   Quarantine quarantine;
   Lose(quarantine, kRequest, 4, seconds(0));
-  quarantine.OnAnswered(kRequest, At(seconds(5)));
+  quarantine.OnAnswered(kRequest, "served", 1, At(seconds(5)));
   const std::vector<QuarantineChange> changes = quarantine.TakeChanges();
   REQUIRE(changes.size() == 2);
   CHECK(changes[0].kind == QuarantineChange::Kind::kLosses);
