--- a/tests/fleet/unit-crashing_request.cpp
+++ b/tests/fleet/unit-crashing_request.cpp
@@ -72,5 +72,24 @@
   CHECK(ForwarderWorld::StatusOf(crashing.world.Call(route + "x", "s")) == 200);
 }
 
+TEST_CASE("a request that waits for a target is refused when it enters the quarantine") {
+  ForwarderWorld world;
+  net::RawClient& client = world.Send("/read/deadly", "r");
+  REQUIRE(world.RunUntil([&] { return world.forwarder.waiting() == 1; }));
+  net::HttpRequest request;
+  request.method = "POST";
+  request.host = "a";
+  request.target = "/read/deadly";
+  QuarantineReport report;
+  report.quarantined.push_back({FingerprintOf(request, ""), 60'000});
+  world.view.quarantine.OnReport(report, world.loop.now());
+  world.forwarder.Offer();
+  REQUIRE(world.RunUntil([&] { return ForwarderWorld::IsWhole(client.received); }));
+  CHECK(ForwarderWorld::StatusOf(client.received) == 503);
+  CHECK(FieldOf(client.received, "Code") == "quarantined");
+  CHECK(FieldOf(client.received, "Run") == "no");
+  CHECK_FALSE(FieldOf(client.received, "Retry-After").empty());
+}
+
 }  // namespace
 }  // namespace dogwoodport::fleet
