--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -146,7 +146,7 @@
   void OnAnswer(Request& request, net::HttpResponse response);
   void OnNotRun(Request& request, const net::HttpResponse& response);
   /// The present attempt ended without an answer; `failure` is unset if it was given up.
-  void Suspect(const Request& request, std::optional<net::CallFailure> failure);
+  void NoteLostAttempt(const Request& request, std::optional<net::CallFailure> failure);
   bool IsQuarantined(const Request& request) const;
   /// Refuses the request if it is in quarantine; returns whether it is.
   bool RefuseQuarantined(Request& request);
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -325,7 +325,7 @@
     return;
   }
   request.may_have_run = request.may_have_run || sent;
-  if (sent) Suspect(request, std::nullopt);
+  if (sent) NoteLostAttempt(request, std::nullopt);
   LogRequest(LogLevel::kWarning, "attempt_timed_out", request, {{"may_have_run", sent}});
   // The target works on it until the end; only the connection tells it to stop.
   EndAttempt(request, SendResult::kTimedOut);
@@ -349,7 +349,7 @@
   LogRequest(LogLevel::kInfo, "abandoned", request, {});
   CountEnd(request, "abandoned");
   if (connection) {
-    if (connection->any_sent()) Suspect(request, std::nullopt);
+    if (connection->any_sent()) NoteLostAttempt(request, std::nullopt);
     EndAttempt(request, SendResult::kCancelled);
     connection->Abort();
   }
--- a/packages/fleet/src/requests/forwarder_request.h
+++ b/packages/fleet/src/requests/forwarder_request.h
@@ -34,7 +34,7 @@
   }
   void OnFailure(net::CallFailure failure) override {
     const RequestPtr keep(this);
-    owner.Suspect(*this, failure);
+    owner.NoteLostAttempt(*this, failure);
     owner.OnBroken(*this, failure);
   }
   bool Accepts(const net::HttpResponse& response) override {
