Log on what ground requests of the busiest accounts are admitted

The log told refusals from each other, but not whether an admitted request was covered by the pool or by the instance's share, how large the share was and how old the knowledge behind it.

--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -124,6 +124,8 @@
   void RefreshShares();
   void MaintainConnections();
   void LogStatus();
+  /// Logs on what ground the busiest accounts were admitted.
+  void LogAccounts();
   void CheckShutdown();
   bool Ready() const;
   net::HttpResponse AnswerReadiness() const;
--- a/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_limiter.h
@@ -42,6 +42,21 @@
   std::uint32_t admitted = 0;
 };
 
+/// Why one account was admitted lately, for the log.
+struct AccountStatus {
+  std::string account;
+  /// Requests admitted since the status before: while the pool was open, and by this instance's
+  /// part of the rate.
+  std::uint32_t by_pool = 0;
+  std::uint32_t by_share = 0;
+  /// This instance's part of the rate, in requests per second.
+  double share = 0;
+  /// Demand at the other instances, as far as it is known here.
+  double others_demand = 0;
+  /// Tokens left in the pool.
+  double pool = 0;
+};
+
 class AccountLimiter {
  public:
   explicit AccountLimiter(AccountTolerance tolerance = {}) : tolerance_(tolerance) {}
@@ -84,6 +99,12 @@
   /// instances did the same; the others should hear of it before the next regular report.
   bool ReportIsUrgent() const noexcept { return report_is_urgent_; }
 
+  /// The `n` accounts that were admitted most often since the last call.
+  std::vector<AccountStatus> TakeStatus(std::size_t n);
+
+  /// Time since the other instances' admissions were known.
+  Duration KnownAge(TimePoint now) const noexcept { return now - known_at_; }
+
   static constexpr Duration kPoolAge{800'000};
   /// Longest time until the demand that an instance reports is part of what the others tell.
   static constexpr Duration kShareSpan{750'000};
@@ -99,6 +120,8 @@
     double low_demand_before = 0;
     TimePoint low_since{};
     std::uint32_t admitted = 0;
+    std::uint32_t by_pool = 0;
+    std::uint32_t by_share = 0;
     RateMeter demand{Duration{2'000'000}};
     /// This instance's part of the rate.
     TokenBucket bucket;
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -38,6 +38,8 @@
 /// Age of the configuration above which callers are better served elsewhere.
 constexpr Duration kTooOldToServe{4'000'000};
 
+/// Accounts that are logged each second, those admitted most often.
+constexpr std::size_t kLoggedAccounts = 4;
 /// When a caller should come back whose body found no memory.
 constexpr Duration kNoMemoryRetry{300'000};
 /// Part of the memory for the bodies of requests, and the same for those of answers. A request's
@@ -318,9 +320,23 @@
   forwarder_.Maintain();
   caller_.Maintain();
   LogStatus();
+  LogAccounts();
   log_.Flush();
 }
 
+void Instance::LogAccounts() {
+  for (const AccountStatus& it : view_.accounts.TakeStatus(kLoggedAccounts)) {
+    log_.Write(LogLevel::kInfo, "account_admitted",
+               {{"account", it.account},
+                {"by_pool", it.by_pool},
+                {"by_share", it.by_share},
+                {"share_per_s", it.share},
+                {"others_per_s", it.others_demand},
+                {"pool", it.pool},
+                {"known_age_ms", view_.accounts.KnownAge(loop_.now()).count() / 1000}});
+  }
+}
+
 void Instance::LogStatus() {
   const ForwarderCounters& counters = forwarder_.counters();
   log_.Write(LogLevel::kInfo, "status",
--- a/packages/fleet/src/limits/account_limiter.cc
+++ b/packages/fleet/src/limits/account_limiter.cc
@@ -1,6 +1,7 @@
 #include "dogwoodport/fleet/limits/account_limiter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dogwoodport::fleet {
 namespace {
@@ -150,7 +151,9 @@
   entry.demand.Add(now);
   if (entry.rate <= 0) return {};
   Refresh(entry, now);
-  if (IsOpen(entry, now) || entry.bucket.tokens() >= 1) {
+  const bool open = IsOpen(entry, now);
+  if (open || entry.bucket.tokens() >= 1) {
+    ++(open ? entry.by_pool : entry.by_share);
     entry.bucket.Add(-1);
     entry.pool -= 1;
     ++entry.admitted;
@@ -181,6 +184,22 @@
   return result;
 }
 
+std::vector<AccountStatus> AccountLimiter::TakeStatus(std::size_t n) {
+  std::vector<AccountStatus> result;
+  for (auto& [name, entry] : entries_) {
+    if (entry.by_pool + entry.by_share == 0) continue;
+    result.push_back({name, std::exchange(entry.by_pool, 0), std::exchange(entry.by_share, 0),
+                      entry.bucket.rate(), entry.others_demand, entry.pool});
+  }
+  const auto last = result.begin() + static_cast<std::ptrdiff_t>(std::min(n, result.size()));
+  std::partial_sort(result.begin(), last, result.end(),
+                    [](const AccountStatus& a, const AccountStatus& b) {
+                      return a.by_pool + a.by_share > b.by_pool + b.by_share;
+                    });
+  result.erase(last, result.end());
+  return result;
+}
+
 AccountUse AccountLimiter::Reported(const std::string& account) const {
   const auto it = entries_.find(account);
   return it == entries_.end() ? AccountUse{} : it->second.reported;
