Lend the tokens of client accounts, so that a fleet cannot admit more than rate and burst

Cause: each instance decided on an estimate of what all the others admit. Class of fault: a shared bound kept by estimates of each holder, which is right only while news arrive in time.

Now a token is in one place at a time. The coordinator has a bucket for each account and lends; relays of a large fleet lend on. All counters are totals of sessions; what is lost counts as used. The estimate, its reports and digests are removed. A request without a token at its instance waits for it, 0.15 s at most; without a lender it gets 503 rate_unknown at once.

Found on the way by these tests: a relay that became the coordinator used what it had lent; requests for tokens answered each other without a pause while datagrams came twice; a token that came too late stayed with its instance, which starved the large site.

--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -97,9 +97,15 @@
 
   void PrepareReport(PeerReport& report);
   void PrepareDigest(PeerDigest& digest);
-  void OnDigest(const PeerDigest& digest, const Peer& sender);
-  /// Reports what was admitted, or that a target leaves, before its turn.
+  void OnDigest(const PeerDigest& digest);
+  /// Reports what all should hear soon before its turn.
   void HastenReports();
+  /// Brings the role of this instance, and whom it borrows tokens from, up to date.
+  void UpdateLending();
+  /// Sends what is due about tokens, and admits the requests that have got one.
+  void ExchangeTokens();
+  /// Whether no loan of a coordinator before the one of `generation` can be valid any more.
+  bool EarlierLoansEnded(std::uint64_t generation) const;
   void PrepareLoad(PeerLoad& load);
   void OnLoad(const PeerLoad& before, const PeerLoad& load);
   void OnReport(const Peer& peer);
@@ -124,7 +130,7 @@
   void RefreshShares();
   void MaintainConnections();
   void LogStatus();
-  /// Logs on what ground the busiest accounts were admitted.
+  /// Logs what became of the requests of the busiest accounts.
   void LogAccounts();
   void CheckShutdown();
   bool Ready() const;
@@ -137,7 +143,6 @@
   const TargetProtocol& protocol_;
   JsonLinesLog& log_;
   FleetView view_;
-  AccountExchange accounts_;
   Forwarder forwarder_;
   net::HttpServer callers_;
   net::HttpServer readiness_;
@@ -175,8 +180,14 @@
   bool wants_table_ = false;
   /// The table as it was sent last, and those instances whose reports showed an older one.
   KeyTable sent_table_;
+  /// Generation of the coordinator that this instance follows, and since when.
+  std::uint64_t followed_generation_ = 0;
+  TimePoint followed_since_{};
+  /// Generation in which this instance began to lend tokens.
+  std::uint64_t lending_generation_ = 0;
   std::map<std::string, std::uint64_t> behind_;
   net::TimerId table_timer_;
+  net::TimerId settle_timer_;
   volatile std::sig_atomic_t stop_requested_ = 0;
   TimePoint stopping_at_{};
   /// Latest time at which a caller's connection was open during the shutdown.
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -17,8 +17,8 @@
 #include <vector>
 
 #include "dogwoodport/fleet/event_log.h"
-#include "dogwoodport/fleet/limits/account_exchange.h"
 #include "dogwoodport/fleet/limits/token_bucket.h"
+#include "dogwoodport/fleet/limits/token_loan.h"
 #include "dogwoodport/fleet/membership/target_directory.h"
 #include "dogwoodport/fleet/ownership/key_load.h"
 #include "dogwoodport/fleet/requests/quarantine.h"
@@ -47,9 +47,8 @@
   std::uint64_t generation = 0;
   std::uint64_t revision = 0;
   bool wants_table = false;
-  /// Sent before its turn, because an account has used much.
+  /// Sent before its turn, because it holds news that all should hear soon.
   bool urgent = false;
-  std::vector<AccountReport> accounts;
   /// Busiest keys by service; sent to the coordinator only.
   std::vector<std::pair<std::uint64_t, std::vector<BucketRate>>> key_load;
   /// Targets that leave although their heartbeats do not say so yet.
@@ -58,7 +57,7 @@
 
   MSGPACK_DEFINE_ARRAY(address, incarnation, number, stamp_us, data_centre, processor_share,
                        leading, leaving, store_age_ms, generation, revision, wants_table, urgent,
-                       accounts, key_load, leaving_targets, quarantine)
+                       key_load, leaving_targets, quarantine)
 };
 
 /// Requests that an instance has in flight, by hash of the target. Sent more often than reports,
@@ -88,8 +87,6 @@
   std::uint64_t number = 0;
   /// Instances that the coordinator hears and that are not leaving.
   std::vector<PresentInstance> present;
-  /// Accounts over all these instances.
-  std::vector<AccountReport> accounts;
   /// The same as in the reports.
   std::vector<LeavingTarget> leaving_targets;
   /// Instances that pass on what the coordinator sends to their data centres. The instances of a
@@ -97,7 +94,7 @@
   std::vector<std::string> relays;
   QuarantineReport quarantine;
 
-  MSGPACK_DEFINE_ARRAY(address, number, present, accounts, leaving_targets, relays, quarantine)
+  MSGPACK_DEFINE_ARRAY(address, number, present, leaving_targets, relays, quarantine)
 };
 
 /// What the coordinator has read from a feed of the store, for one other instance. It spares the
@@ -211,13 +208,19 @@
   /// A table of owners, or a change of it, has arrived.
   std::function<void(const std::string& bytes)> on_table;
   std::function<void(const std::string& bytes)> on_table_change;
-  /// Fills in the accounts of a digest before it is sent.
+  /// Fills in a digest before it is sent.
   std::function<void(PeerDigest&)> on_prepare_digest;
   /// A digest of the coordinator has arrived.
   std::function<void(const PeerDigest&, const Peer& sender)> on_digest;
 
   /// A part of a feed has arrived.
   std::function<void(const FeedPush&)> on_feed;
+  /// A message about tokens of client accounts has arrived.
+  std::function<void(const LoanRequest&)> on_loan_request;
+  std::function<void(const LoanGrant&)> on_loan_grant;
+
+  /// Sends a message about tokens at once.
+  void SendLoan(const LoanMessage& message);
 
   /// Sends what was read from a feed to all reachable instances. `verified_at` is dated on each
   /// receiver's clock by its latest report, never later than it was.
@@ -240,6 +243,11 @@
   std::size_t AheadForTakeOver() const;
   /// Addresses of the relays, if this is the coordinator of a large fleet.
   std::vector<std::string> ChooseRelays() const;
+  /// Relays by the latest digest.
+  const std::vector<std::string>& relays() const noexcept { return relays_; }
+  /// Address of the coordinator that this instance hears, the newest one if there are several;
+  /// empty if there is none. Complexity: linear.
+  std::string Coordinator() const;
   /// Time between the reports of an instance.
   Duration ReportInterval(bool of_coordinator) const;
   /// Silence of a coordinator that allows others to take over, at least `shortest`.
--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
@@ -17,6 +17,7 @@
 #include <string>
 
 #include "dogwoodport/fleet/event_log.h"
+#include "dogwoodport/fleet/limits/lending_start.h"
 #include "dogwoodport/fleet/membership/target_directory.h"
 #include "dogwoodport/fleet/ownership/key_planner.h"
 #include "dogwoodport/fleet/state/metadata_store.h"
@@ -49,8 +50,8 @@
   /// latest after the longest wait; an early split would leave the later targets without keys.
   Duration first_split_quiet{1'000'000};
   Duration first_split_wait{4'000'000};
-  /// Wait of the long poll that confirms the role.
-  Duration confirm_wait{3'000'000};
+  /// Wait of the long poll that confirms the role. A fraction of `LoanSettings::role`.
+  Duration confirm_wait{300'000};
   PlannerSettings planner;
 };
 
@@ -77,6 +78,9 @@
   /// Whether every instance that may have been the coordinator before follows this one, so that
   /// none renews grants any more.
   std::function<bool()> others_follow;
+  /// Whether no loan of a coordinator before the one of `generation` can be valid any more. Without
+  /// it none is known to have ended.
+  std::function<bool(std::uint64_t generation)> earlier_loans_ended;
   /// The table has changed.
   std::function<void(const KeyTable& table)> on_table;
 };
@@ -97,6 +101,10 @@
 
   bool leading() const noexcept { return role_ == Role::kLeading; }
   TimePoint took_over_at() const noexcept { return took_over_at_; }
+  /// The store had no other coordinator at this time.
+  TimePoint confirmed_at() const noexcept { return confirmed_at_; }
+  /// How this instance came to lead.
+  const LendingStart& lending_start() const noexcept { return lending_start_; }
   bool taking_over() const noexcept { return role_ == Role::kTakingOver; }
   const KeyTable& table() const noexcept { return table_; }
 
@@ -131,7 +139,7 @@
     TimePoint call_at{};
   };
 
-  void Lead(KeyTable table, std::uint64_t offset);
+  void Lead(KeyTable table, std::uint64_t offset, TimePoint sent_at);
   void ReadBeforeTakeOver();
   void AppendTakeOver(KeyTable table, std::uint64_t end);
   void ConfirmRole();
@@ -149,7 +157,8 @@
   void Record(KeyTable next);
   void AppendPending();
   void ResolvePending();
-  void Adopt(KeyTable next, std::uint64_t offset);
+  /// Continues with a record that was in the store as of `confirmed_at`.
+  void Adopt(KeyTable next, std::uint64_t offset, TimePoint confirmed_at);
   /// Completes the moves whose destinations have confirmed their grants; returns whether there were
   /// any.
   static bool FinishMoves(KeyTable& table);
@@ -178,6 +187,7 @@
   KeyTable table_;
   std::uint64_t end_ = 0;
   TimePoint took_over_at_{};
+  LendingStart lending_start_;
   /// Moment from which on no earlier coordinator renews.
   TimePoint alone_from_{};
   TimePoint confirmed_at_{};
--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_table.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_table.h
@@ -56,8 +56,10 @@
   /// Number of the state within the generation; also grows when ranges become ready.
   std::uint64_t revision = 0;
   std::map<std::string, KeyRanges> services;
+  /// See `LendingStart::takeovers`.
+  int takeovers = 0;
 
-  MSGPACK_DEFINE_ARRAY(generation, coordinator, serial, revision, services)
+  MSGPACK_DEFINE_ARRAY(generation, coordinator, serial, revision, services, takeovers)
 
   /// Whether `other` is an older state. Complexity: constant.
   bool NewerThan(const KeyTable& other) const noexcept {
--- a/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "dogwoodport/fleet/limits/account_limiter.h"
+#include "dogwoodport/fleet/limits/account_tokens.h"
 #include "dogwoodport/fleet/limits/cold_limiter.h"
 #include "dogwoodport/fleet/limits/retry_budget.h"
 #include "dogwoodport/fleet/membership/target_directory.h"
@@ -44,7 +44,7 @@
   KeyTable keys;
   KeyLoadMeter key_load;
 
-  AccountLimiter accounts;
+  AccountTokens accounts;
   RetryBudget retry_budget;
   ColdLimiter cold;
   Quarantine quarantine;
--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -4,6 +4,7 @@
 /// Life of a request: admission, choice of a target, sending, repetition, answer.
 
 #include <array>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -34,8 +35,11 @@
   kTargetFailed,
   kShuttingDown,
   kQuarantined,
+  /// No lender of tokens can be reached, so that nobody knows whether the account is within its
+  /// rate.
+  kRateUnknown,
 };
-inline constexpr std::size_t kRefusals = 12;
+inline constexpr std::size_t kRefusals = 13;
 
 /// Times of the data path.
 struct ForwarderSettings {
@@ -81,10 +85,16 @@
 
   /// A target has said in an answer, for the first time, that it leaves.
   std::function<void(const std::string& id)> on_target_leaving;
+  /// A request waits for a token of its account.
+  std::function<void()> on_token_needed;
 
   /// Takes a request of a caller.
   void Handle(const net::ExchangePtr& exchange);
 
+  /// Admits the requests that wait for a token, as far as there are any; called when tokens may
+  /// have arrived.
+  void OnTokens();
+
   /// Offers the waiting requests again; called when targets, owners or the configuration changed.
   void Offer();
 
@@ -125,8 +135,11 @@
   bool Admit(Request& request);
   /// Finds the account of the request's secret; refuses the request if there is none.
   bool CheckSecret(Request& request);
-  /// Refuses the request if its account is above its rate.
-  bool CheckRate(Request& request);
+  /// Takes a token of the request's account, or refuses the request. If neither is possible yet,
+  /// the request waits and the result is false.
+  bool TakeToken(Request& request);
+  enum class TokenOutcome { kTaken, kRefused, kNone };
+  TokenOutcome TryToken(Request& request, bool again);
   std::string ChooseService(const Route& route);
   void Start(const RequestPtr& request);
   Placement TrySend(Request& request);
@@ -183,6 +196,8 @@
   net::ConnectionPool pool_;
   std::mt19937_64 random_;
   std::unordered_map<std::string, ServiceState> services_;
+  /// Requests that wait for a token, by account.
+  std::map<std::string, WaitingQueue> token_queues_;
   /// Longest time that callers of a route have been willing to wait: that of a first try.
   std::unordered_map<std::string, Duration> longest_patience_;
   ForwarderCounters counters_;
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -70,7 +70,6 @@
       protocol_(protocol),
       log_(log),
       view_(settings_.retry_bound, settings_.account_tolerance),
-      accounts_(view_.accounts),
       forwarder_(loop, view_, protocol, log, ForwarderSettingsFor(settings_),
                  settings_.incarnation),
       callers_(
@@ -123,12 +122,23 @@
       leaderless_since_(loop.now()) {
   view_.data_centre = settings_.data_centre;
   view_.instance = settings_.peer_address;
+  view_.accounts.SetIdentity(settings_.peer_address, settings_.incarnation);
   callers_.limits().connections = settings_.caller_connections;
   callers_.limits().message.bodies = new net::BodyBudget(settings_.memory_bytes / kBodiesPart);
   forwarder_.on_target_leaving = [this](const std::string& id) {
     OnTargetChange(id, TargetChange::kLeaving);
     urgent_news_ = true;
   };
+  forwarder_.on_token_needed = [this] { ExchangeTokens(); };
+  peers_.on_loan_request = [this](const LoanRequest& request) {
+    view_.accounts.OnRequest(request, loop_.Refresh());
+    ExchangeTokens();
+  };
+  peers_.on_loan_grant = [this](const LoanGrant& grant) {
+    view_.accounts.OnGrant(grant, loop_.Refresh());
+    forwarder_.OnTokens();
+    ExchangeTokens();
+  };
   peers_.on_prepare = [this](PeerReport& report) { PrepareReport(report); };
   peers_.on_report = [this](const Peer& peer) { OnReport(peer); };
   peers_.on_prepare_load = [this](PeerLoad& load) { PrepareLoad(load); };
@@ -137,9 +147,7 @@
   peers_.on_table = [this](const std::string& bytes) { OnTable(bytes); };
   peers_.on_table_change = [this](const std::string& bytes) { OnTableChange(bytes); };
   peers_.on_prepare_digest = [this](PeerDigest& digest) { PrepareDigest(digest); };
-  peers_.on_digest = [this](const PeerDigest& digest, const Peer& sender) {
-    OnDigest(digest, sender);
-  };
+  peers_.on_digest = [this](const PeerDigest& digest, const Peer&) { OnDigest(digest); };
 }
 
 Instance::~Instance() = default;
@@ -198,9 +206,8 @@
   report.store_age_ms = static_cast<std::uint32_t>((now - operators_.verified_at()).count() / 1000);
   report.generation = view_.keys.generation;
   report.revision = view_.keys.revision;
-  // The digests of the coordinator hold its own accounts too.
+  // The digests of the coordinator hold its own news too.
   if (coordinator_.leading() && peers_.UsesDigests()) return;
-  report.accounts = accounts_.MakeReport(now);
   report.leaving_targets = view_.directory.LeavingTargets();
   report.quarantine = view_.quarantine.MakeReport(now);
   for (auto& [service, rates] : view_.key_load.Busiest(now, settings_.reported_buckets)) {
@@ -209,20 +216,17 @@
 }
 
 void Instance::PrepareDigest(PeerDigest& digest) {
-  digest.accounts = accounts_.MakeDigest(loop_.now());
   digest.leaving_targets = view_.directory.LeavingTargets();
   digest.quarantine = view_.quarantine.MakeDigest(loop_.now());
 }
 
-void Instance::OnDigest(const PeerDigest& digest, const Peer& sender) {
-  accounts_.OnDigest({digest.address, sender.report.incarnation}, digest.accounts, loop_.now());
+void Instance::OnDigest(const PeerDigest& digest) {
   MarkLeaving(digest.leaving_targets);
   view_.quarantine.OnReport(digest.quarantine, loop_.now());
 }
 
 void Instance::HastenReports() {
-  const bool urgent_news = std::exchange(urgent_news_, false);
-  if (!view_.accounts.ReportIsUrgent() && !urgent_news) return;
+  if (!std::exchange(urgent_news_, false)) return;
   if (coordinator_.leading()) {
     peers_.HastenDigest();
   } else if (peers_.UsesDigests() || !peers_.IsLarge()) {
@@ -256,6 +260,9 @@
   coordinator_.Tick();
   CheckCoordinator();
   peers_.SetLeading(coordinator_.leading());
+  UpdateLending();
+  forwarder_.OnTokens();
+  ExchangeTokens();
   LogQuarantine();
   HastenReports();
   operators_.SetAlwaysReads(coordinator_.leading());
@@ -275,20 +282,9 @@
 void Instance::RefreshShares() {
   const TimePoint now = loop_.now();
   shares_at_ = now + kSharesInterval;
-  const ReachableTest is_reachable = peers_.Reachable();
-  std::size_t reachable = 0;
-  for (const auto& [address, peer] : peers_.peers()) {
-    if (!is_reachable(peer)) {
-      accounts_.SetSilent(address);
-    } else if (!peer.report.leaving) {
-      ++reachable;
-    }
-  }
   const std::size_t known = peers_.peers().size();
-  view_.accounts.SetInstances(reachable, known - std::min(known, reachable));
   view_.instances = known + 1;
   view_.retry_budget.SetInstances(known + 1);
-  accounts_.UpdateDemand(now, peers_.IsLarge() && !coordinator_.leading());
   // All known instances, silent ones too, so that instances with different views of who is
   // reachable, as after a common restart, still choose the same senders.
   const std::vector<std::string> others = peers_.KnownAddresses();
@@ -325,15 +321,19 @@
 }
 
 void Instance::LogAccounts() {
-  for (const AccountStatus& it : view_.accounts.TakeStatus(kLoggedAccounts)) {
-    log_.Write(LogLevel::kInfo, "account_admitted",
+  const TimePoint now = loop_.now();
+  for (const AccountTokens::Status& it : view_.accounts.TakeStatus(kLoggedAccounts, now)) {
+    log_.Write(LogLevel::kInfo, "account_tokens",
                {{"account", it.account},
-                {"by_pool", it.by_pool},
-                {"by_share", it.by_share},
-                {"share_per_s", it.share},
-                {"others_per_s", it.others_demand},
-                {"pool", it.pool},
-                {"known_age_ms", view_.accounts.KnownAge(loop_.now()).count() / 1000}});
+                {"admitted", it.admitted},
+                {"over_limit", it.over_limit},
+                {"waited", it.waited},
+                {"unknown", it.unknown},
+                {"free", it.free},
+                {"lent", it.lent},
+                {"demand_per_s", it.demand},
+                {"lends", view_.accounts.MayLend(now)},
+                {"takeovers", view_.accounts.Takeovers(now)}});
   }
 }
 
--- a/packages/fleet/src/instance_feeds.cc
+++ b/packages/fleet/src/instance_feeds.cc
@@ -59,7 +59,6 @@
     names.push_back(it.name);
   }
   view_.accounts.Keep(names);
-  accounts_.SetAccounts(names);
   net::ServerLimits& limits = callers_.limits();
   limits.message.header_bytes = config->limits().header_bytes;
   limits.message.body_bytes = config->limits().body_bytes;
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -35,6 +35,8 @@
 /// below which another instance may replace it.
 constexpr std::uint32_t kLostStoreMs = 3'500;
 constexpr Duration kReachedStore{2'000'000};
+/// Silence of a coordinator to requests for tokens, and in its reports, that starts a take-over.
+constexpr Duration kLostLender{800'000};
 
 /// Time without a coordinator after which an instance takes over that has `rank` others before it.
 Duration TakeOverDelay(std::size_t rank) {
@@ -47,7 +49,6 @@
 
 void Instance::OnReport(const Peer& peer) {
   const PeerReport& report = peer.report;
-  accounts_.OnReport({report.address, report.incarnation}, report.accounts, loop_.now());
   MarkLeaving(report.leaving_targets);
   view_.quarantine.OnReport(report.quarantine, loop_.now());
   if (report.leading && coordinator_.leading() && report.generation > view_.keys.generation) {
@@ -149,6 +150,9 @@
     const TimePoint since = coordinator_.took_over_at() + kReportTravel;
     return registry_read_ && peers_.AllFollow(view_.keys.generation, since);
   };
+  ports.earlier_loans_ended = [this](std::uint64_t generation) {
+    return EarlierLoansEnded(generation);
+  };
   ports.on_table = [this](const KeyTable& table) { PublishTable(table); };
   return ports;
 }
@@ -209,7 +213,10 @@
     const PeerReport& report = peer.report;
     // A coordinator that has lost the store is replaced by an instance that reaches it.
     const bool cut_off = report.store_age_ms > kLostStoreMs && own_store_age < kReachedStore;
-    if (report.leading && !report.leaving && !cut_off && now - peer.heard_at <= silence) {
+    // Those that borrow tokens from it notice its loss before its reports are missed.
+    const bool lost = view_.accounts.SilenceOf(address, now) >= kLostLender &&
+                      now - peer.reported_at >= kLostLender;
+    if (report.leading && !report.leaving && !cut_off && !lost && now - peer.heard_at <= silence) {
       has_coordinator = true;
     }
   }
--- a/packages/fleet/src/membership/peer_datagrams.h
+++ b/packages/fleet/src/membership/peer_datagrams.h
@@ -15,5 +15,8 @@
 inline constexpr char kRelayKind = 'y';
 /// The same for a part of a feed, which the relay dates anew for each receiver.
 inline constexpr char kRelayFeedKind = 'z';
+/// Tokens of client accounts.
+inline constexpr char kLoanRequestKind = 'q';
+inline constexpr char kLoanGrantKind = 'g';
 
 }  // namespace dogwoodport::fleet
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -208,6 +208,14 @@
   }
 }
 
+void PeerExchange::SendLoan(const LoanMessage& message) {
+  if (const auto* const request = std::get_if<LoanRequest>(&message.body)) {
+    SendTo(message.to, kLoanRequestKind, Pack(*request));
+  } else {
+    SendTo(message.to, kLoanGrantKind, Pack(std::get<LoanGrant>(message.body)));
+  }
+}
+
 void PeerExchange::OnReadable() {
   std::array<char, kLargestDatagram> buf;
   for (int i = 0; i < kReadsPerRound; ++i) {
@@ -232,6 +240,8 @@
     if (data[0] == kFeedKind && on_feed) on_feed(Unpack<FeedPush>(body));
     if (data[0] == kReportKind) ReceiveReport(Unpack<PeerReport>(body));
     if (data[0] == kLoadKind) ReceiveLoad(Unpack<PeerLoad>(body));
+    if (data[0] == kLoanRequestKind && on_loan_request) on_loan_request(Unpack<LoanRequest>(body));
+    if (data[0] == kLoanGrantKind && on_loan_grant) on_loan_grant(Unpack<LoanGrant>(body));
   } catch (const std::exception& e) {
     log_.Write(LogLevel::kWarning, "datagram_unreadable", {{"bytes", size}, {"error", e.what()}});
   }
@@ -290,6 +300,17 @@
       peers_.begin(), peers_.end(), [&test](const auto& it) { return test(it.second); }));
 }
 
+std::string PeerExchange::Coordinator() const {
+  const ReachableTest reachable = Reachable();
+  const std::pair<const std::string, Peer>* newest = nullptr;
+  for (const auto& it : peers_) {
+    const PeerReport& report = it.second.report;
+    if (!report.leading || report.leaving || !reachable(it.second)) continue;
+    if (newest == nullptr || report.generation > newest->second.report.generation) newest = &it;
+  }
+  return newest == nullptr ? std::string() : newest->first;
+}
+
 bool PeerExchange::AllFollow(std::uint64_t generation, TimePoint since) const {
   return std::all_of(ever_known_.begin(), ever_known_.end(), [&](const std::string& address) {
     const auto it = peers_.find(address);
--- a/packages/fleet/src/ownership/key_coordinator.cc
+++ b/packages/fleet/src/ownership/key_coordinator.cc
@@ -65,6 +65,14 @@
 }
 
 void KeyCoordinator::AppendTakeOver(KeyTable table, std::uint64_t end) {
+  lending_start_ = LendingStart{};
+  lending_start_.first = end == 0;
+  lending_start_.predecessor = table.coordinator;
+  lending_start_.predecessor_generation = table.generation;
+  lending_start_.predecessor_settled = table.takeovers == 0;
+  const bool ended = ports_.earlier_loans_ended && ports_.earlier_loans_ended(table.generation);
+  table.takeovers = lending_start_.first ? 0 : 1 + (ended ? 0 : table.takeovers);
+  lending_start_.takeovers = table.takeovers;
   table.generation = 0;
   table.coordinator = self_;
   table.serial = 0;
@@ -76,23 +84,28 @@
     MergeNeighbours(ranges);
   }
   const std::string bytes = Encode(table);
+  const TimePoint sent_at = ports_.now();
   ports_.store->Append(Feed::kOwnership, kTableKey, bytes, end,
-                       Guarded(alive_, term_, [this, table](const AppendOutcome& outcome) {
+                       Guarded(alive_, term_, [this, table, sent_at](const AppendOutcome& outcome) {
                          if (const auto* const appended = std::get_if<Appended>(&outcome)) {
-                           Lead(table, appended->offset);
+                           Lead(table, appended->offset, sent_at);
                          } else {
                            StepDown("the take-over was not recorded");
                          }
                        }));
 }
 
-void KeyCoordinator::Lead(KeyTable table, std::uint64_t offset) {
+void KeyCoordinator::Lead(KeyTable table, std::uint64_t offset, TimePoint sent_at) {
   ++term_;
   role_ = Role::kLeading;
   ResolveTokens(table, offset);
   table_ = std::move(table);
   end_ = offset + 1;
-  took_over_at_ = confirmed_at_ = ports_.now();
+  took_over_at_ = ports_.now();
+  confirmed_at_ = sent_at;
+  lending_start_.generation = table_.generation;
+  lending_start_.took_over_at = took_over_at_;
+  lending_start_.confirmed_at = sent_at;
   alone_from_ = took_over_at_ + settings_.unconfirmed_limit;
   plan_at_ = took_over_at_;
   pending_.reset();
@@ -192,6 +205,11 @@
       changed = changed || ranges != before;
     }
   }
+  if (next.takeovers > 0 && ports_.earlier_loans_ended &&
+      ports_.earlier_loans_ended(table_.generation)) {
+    next.takeovers = 0;
+    changed = true;
+  }
   // A merged range gets a new token, which must not become the token of a holder in a new move.
   if (!changed) {
     for (auto& [service, ranges] : next.services) {
@@ -250,10 +268,11 @@
 
 void KeyCoordinator::AppendPending() {
   resolving_ = true;
+  const TimePoint sent_at = ports_.now();
   ports_.store->Append(Feed::kOwnership, kTableKey, Encode(*pending_), end_,
-                       Guarded(alive_, term_, [this](const AppendOutcome& outcome) {
+                       Guarded(alive_, term_, [this, sent_at](const AppendOutcome& outcome) {
                          if (const auto* const appended = std::get_if<Appended>(&outcome)) {
-                           Adopt(*pending_, appended->offset);
+                           Adopt(*pending_, appended->offset, sent_at);
                          } else {
                            ResolvePending();
                          }
@@ -263,8 +282,9 @@
 void KeyCoordinator::ResolvePending() {
   // The append may have been done, may be done later, or another instance has written.
   resolving_ = true;
+  const TimePoint sent_at = ports_.now();
   ports_.store->ReadNewest(
-      Feed::kOwnership, Guarded(alive_, term_, [this](const ReadOutcome& outcome) {
+      Feed::kOwnership, Guarded(alive_, term_, [this, sent_at](const ReadOutcome& outcome) {
         resolving_ = false;
         resolve_at_ = ports_.now() + kResolveInterval;
         const auto* const records = std::get_if<StoreRecords>(&outcome);
@@ -276,7 +296,7 @@
           const bool own = newest.coordinator == self_ &&
                            (newest.generation == table_.generation || offset == table_.generation);
           if (own && newest.serial == pending_->serial) {
-            Adopt(newest, offset);
+            Adopt(newest, offset, sent_at);
           } else if (own && newest.serial == table_.serial) {
             // The same record once more: whichever of the two is appended, its content is the same.
             end_ = records->end;
@@ -291,7 +311,7 @@
       }));
 }
 
-void KeyCoordinator::Adopt(KeyTable next, std::uint64_t offset) {
+void KeyCoordinator::Adopt(KeyTable next, std::uint64_t offset, TimePoint confirmed_at) {
   pending_.reset();
   resolving_ = false;
   end_ = offset + 1;
@@ -321,7 +341,7 @@
   }
   next.revision = std::max(next.revision, table_.revision);
   table_ = std::move(next);
-  confirmed_at_ = std::max(confirmed_at_, ports_.now() - settings_.call_timeout);
+  confirmed_at_ = std::max(confirmed_at_, confirmed_at);
   Publish();
   RenewRanges();
 }
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr std::array<const char*, kRefusals> kRefusalNames = {
-    "no_configuration", "unknown_route", "not_authorized", "stale_secrets",
-    "malformed",        "over_limit",    "no_target",      "overloaded",
-    "timed_out",        "target_failed", "shutting_down",  "quarantined"};
+    "no_configuration", "unknown_route", "not_authorized", "stale_secrets", "malformed",
+    "over_limit",       "no_target",     "overloaded",     "timed_out",     "target_failed",
+    "shutting_down",    "quarantined",   "rate_unknown"};
 
 /// Weight of the newest sample in the usual time of a service.
 constexpr double kLatencyWeight = 0.05;
@@ -84,6 +84,7 @@
 std::size_t Forwarder::waiting() const {
   std::size_t n = 0;
   for (const auto& [name, state] : services_) n += state.queue.size();
+  for (const auto& [account, queue] : token_queues_) n += queue.size();
   return n;
 }
 
@@ -97,13 +98,12 @@
   const RequestPtr request(new Request(*this, exchange));
   request->caller = protocol_.ReadCaller(exchange->request());
   if (!Admit(*request)) return;
-  Start(request);
+  request->arrived_at = exchange->received_at();
+  exchange->set_on_abandoned([request] { request->owner.OnAbandoned(*request); });
+  if (TakeToken(*request)) Start(request);
 }
 
 void Forwarder::Start(const RequestPtr& request) {
-  const TimePoint arrived = request->exchange->received_at();
-  request->arrived_at = arrived;
-  request->exchange->set_on_abandoned([request] { request->owner.OnAbandoned(*request); });
   view_.retry_budget.OnRequest(request->service->name, now());
   if (request->service->keyed) {
     view_.key_load.Add(request->service->name, *request->caller.key, now());
@@ -307,6 +307,10 @@
 
 void Forwarder::OnTimer(Request& request) {
   if (request.ended) return;
+  if (request.awaits_token) {
+    Refuse(request, status::kUnavailable, Refusal::kRateUnknown, kDefaultRetry);
+    return;
+  }
   if (request.connection == nullptr) {
     const ServiceState& state = services_[request.service->name];
     GiveUp(request, Refusal::kOverloaded,
--- a/packages/fleet/src/requests/forwarder_admission.cc
+++ b/packages/fleet/src/requests/forwarder_admission.cc
@@ -12,6 +12,9 @@
 
 /// Time to come back to another instance after one that shuts down.
 constexpr Duration kShutDownRetry{50'000};
+/// Longest wait for a token. Most answers of a lender take some milliseconds; a machine that has
+/// used up its share of the processor may stand still for a tenth of a second.
+constexpr Duration kLongestTokenWait{150'000};
 
 }  // namespace
 
@@ -36,7 +39,6 @@
   const bool needs_account = !request.route->is_public && request.config->has_accounts();
   if (needs_account && !CheckSecret(request)) return false;
   if (RefuseQuarantined(request)) return false;
-  if (needs_account && !CheckRate(request)) return false;
   if (request.caller.patience_malformed || request.caller.request_id.empty()) {
     Refuse(request, status::kBadRequest, Refusal::kMalformed, Duration{0});
     return false;
@@ -79,13 +81,56 @@
   return true;
 }
 
-bool Forwarder::CheckRate(Request& request) {
-  const AccountLimiter::Decision decision = view_.accounts.Admit(request.account, now());
-  if (decision.admitted) return true;
-  Refuse(request, status::kTooManyRequests, Refusal::kOverAccountLimit, decision.retry_after);
+Forwarder::TokenOutcome Forwarder::TryToken(Request& request, bool again) {
+  // A token must not be used by a decision that a suspension has made old.
+  const AccountTokens::Decision decision =
+      view_.accounts.Admit(request.account, again, loop_.Refresh());
+  switch (decision.verdict) {
+    case AccountTokens::Verdict::kAdmitted:
+      return TokenOutcome::kTaken;
+    case AccountTokens::Verdict::kWait:
+      return TokenOutcome::kNone;
+    case AccountTokens::Verdict::kOverLimit:
+      Refuse(request, status::kTooManyRequests, Refusal::kOverAccountLimit, decision.retry_after);
+      return TokenOutcome::kRefused;
+    case AccountTokens::Verdict::kUnknown:
+      Refuse(request, status::kUnavailable, Refusal::kRateUnknown, decision.retry_after);
+      return TokenOutcome::kRefused;
+  }
+  return TokenOutcome::kRefused;
+}
+
+bool Forwarder::TakeToken(Request& request) {
+  if (request.account.empty()) return true;
+  const TokenOutcome outcome = TryToken(request, false);
+  if (outcome != TokenOutcome::kNone) return outcome == TokenOutcome::kTaken;
+  request.awaits_token = true;
+  WaitingQueue& queue = token_queues_[request.account];
+  queue.Push(request);
+  view_.accounts.SetWaiting(request.account, queue.size());
+  ArmTimer(request, std::min(request.due_at, now() + kLongestTokenWait));
+  if (on_token_needed) on_token_needed();
   return false;
 }
 
+void Forwarder::OnTokens() {
+  for (auto& [account, queue] : token_queues_) {
+    if (queue.empty()) continue;
+    queue.Offer(
+        [this](Waiter& waiter) {
+          const RequestPtr request(&static_cast<Request&>(waiter));
+          const TokenOutcome outcome = TryToken(*request, true);
+          if (outcome == TokenOutcome::kNone) return false;
+          request->unlink();
+          request->awaits_token = false;
+          if (outcome == TokenOutcome::kTaken) Start(request);
+          return true;
+        },
+        1);
+    view_.accounts.SetWaiting(account, queue.size());
+  }
+}
+
 std::string Forwarder::ChooseService(const Route& route) {
   double total = 0;
   for (const Split& it : route.splits) total += it.weight;
--- a/packages/fleet/src/requests/forwarder_request.h
+++ b/packages/fleet/src/requests/forwarder_request.h
@@ -79,6 +79,7 @@
   TimePoint sent_at{};
   net::TimerId timer;
   bool ended = false;
+  bool awaits_token = false;
 
  private:
   mutable std::optional<Fingerprint> fingerprint_;
--- /dev/null
+++ b/tests/fleet/unit-account_tokens.cpp
@@ -0,0 +1,231 @@
+#include <catch2/catch.hpp>
+
+#include "dogwoodport/fleet/limits/account_tokens.h"
+#include "fleet/account_fleet.h"
+
+namespace dogwoodport::fleet {
+namespace {
+
+using Verdict = AccountTokens::Verdict;
+
+/// A coordinator "c", a relay "r" that borrows from it, and a member "m" that borrows from the
+/// relay.
+struct Chain {
+  Chain() {
+    Set(coordinator, "c");
+    Set(relay, "r");
+    Set(member, "m");
+    LendingStart start;
+    start.generation = 1;
+    start.first = true;
+    start.took_over_at = start.confirmed_at = At(0);
+    coordinator.Lead(start);
+    relay.SetLenders({"c"}, 1, LoanRole::kRelay);
+    member.SetLenders({"r"}, 1, LoanRole::kMember);
+    relay.Tick(At(0));
+    for (const LoanMessage& message : relay.TakeMessages()) Deliver(message, At(0));
+    Exchange(At(0));
+  }
+
+  static void Set(AccountTokens& tokens, const std::string& address) {
+    tokens.SetIdentity(address, 7);
+    tokens.Configure("a", 50, 50);
+  }
+
+  AccountTokens& Of(const std::string& address) {
+    if (address == "c") return coordinator;
+    return address == "r" ? relay : member;
+  }
+
+  /// Delivers messages until there are none.
+  void Exchange(TimePoint now) {
+    for (int i = 0; i < 8; ++i) {
+      for (AccountTokens* it : {&member, &relay, &coordinator}) {
+        it->Tick(now);
+        for (const LoanMessage& message : it->TakeMessages()) Deliver(message, now);
+      }
+    }
+  }
+  void Deliver(const LoanMessage& message, TimePoint now) {
+    if (const auto* const request = std::get_if<LoanRequest>(&message.body)) {
+      Of(message.to).OnRequest(*request, now);
+    } else {
+      grants.push_back(message);
+      Of(message.to).OnGrant(std::get<LoanGrant>(message.body), now);
+    }
+  }
+
+  /// Requests that a waiting caller's instance admits after an exchange.
+  bool AdmitWaiting(AccountTokens& tokens, TimePoint now) {
+    const Verdict first = tokens.Admit("a", false, now).verdict;
+    if (first != Verdict::kWait) return first == Verdict::kAdmitted;
+    tokens.SetWaiting("a", 1);
+    Exchange(now);
+    const bool admitted = tokens.Admit("a", true, now).verdict == Verdict::kAdmitted;
+    tokens.SetWaiting("a", 0);
+    return admitted;
+  }
+
+  AccountTokens coordinator{kTolerance};
+  AccountTokens relay{kTolerance};
+  AccountTokens member{kTolerance};
+  std::vector<LoanMessage> grants;
+};
+
+TEST_CASE("the caps of all coordinators and what accrues are what the operators allow",
+          "[account_tokens]") {
+  for (const double rate : {1.0, 10.0, 569.0}) {
+    double sum = AccrualOf(rate, 2 * rate, kTolerance) * 5;
+    for (int takeovers = 0; takeovers < 60; ++takeovers) {
+      sum += CapOf(rate, 2 * rate, kTolerance, takeovers);
+    }
+    CHECK(sum == Approx((rate * 5 + 2 * rate) * 1.1 + 20));
+  }
+}
+
+TEST_CASE("a member of a data centre gets tokens through its relay", "[account_tokens]") {
+  Chain it;
+  CHECK(it.AdmitWaiting(it.member, At(1)));
+  CHECK(it.AdmitWaiting(it.relay, At(1)));
+  CHECK(it.coordinator.Admit("a", false, At(1)).verdict == Verdict::kAdmitted);
+}
+
+TEST_CASE("a relay that nobody has asked for long can still lend", "[account_tokens]") {
+  Chain it;
+  for (int i = 0; i < 100; ++i) {
+    it.coordinator.Confirm(At(0.1 * i));
+    it.Exchange(At(0.1 * i));
+  }
+  CHECK(it.AdmitWaiting(it.member, At(10)));
+}
+
+TEST_CASE("a grant that comes again, or late, counts once", "[account_tokens]") {
+  Chain it;
+  it.relay.SetWaiting("a", 6);
+  it.Exchange(At(1));
+  it.relay.SetWaiting("a", 0);
+  const std::uint32_t held = it.relay.Free("a", At(1));
+  REQUIRE(held >= 6);
+  const std::vector<LoanMessage> grants = it.grants;
+  for (int i = 0; i < 3; ++i) {
+    for (const LoanMessage& grant : grants) it.Deliver(grant, At(1.5));
+  }
+  CHECK(it.relay.Free("a", At(1.5)) == held);
+  SECTION("also for the instance's next life, which gets none of them") {
+    AccountTokens reborn(kTolerance);
+    reborn.SetIdentity("r", 8);
+    reborn.Configure("a", 50, 50);
+    for (const LoanMessage& grant : grants) reborn.OnGrant(std::get<LoanGrant>(grant.body), At(2));
+    CHECK(reborn.Free("a", At(2)) == 0);
+  }
+  SECTION("also when its time has run out") {
+    CHECK(it.relay.Free("a", At(6)) == 0);
+    for (const LoanMessage& grant : grants) it.Deliver(grant, At(6));
+    CHECK(it.relay.Free("a", At(6)) == 0);
+  }
+}
+
+TEST_CASE("what a lost borrower held counts as used", "[account_tokens]") {
+  Chain it;
+  it.relay.SetWaiting("a", 20);
+  it.Exchange(At(1));
+  const std::uint32_t left = it.coordinator.Free("a", At(1));
+  REQUIRE(it.relay.Free("a", At(1)) == 20);
+  // The next life of the relay asks; what the last one had is not lent again at once.
+  AccountTokens reborn(kTolerance);
+  reborn.SetIdentity("r", 8);
+  reborn.Configure("a", 50, 50);
+  reborn.SetLenders({"c"}, 1, LoanRole::kRelay);
+  reborn.Tick(At(1.01));
+  for (const LoanMessage& message : reborn.TakeMessages()) {
+    it.coordinator.OnRequest(std::get<LoanRequest>(message.body), At(1.01));
+  }
+  CHECK(it.coordinator.Free("a", At(1.01)) <= left + 1);
+}
+
+TEST_CASE("a coordinator whose role is not confirmed lends nothing", "[account_tokens]") {
+  Chain it;
+  CHECK(it.coordinator.MayLend(At(1.1)));
+  CHECK_FALSE(it.coordinator.MayLend(At(1.3)));
+  CHECK(it.coordinator.Free("a", At(1.3)) == 0);
+  CHECK(it.coordinator.Admit("a", false, At(1.3)).verdict == Verdict::kUnknown);
+  it.coordinator.Confirm(At(1.2));
+  CHECK(it.coordinator.MayLend(At(1.3)));
+}
+
+TEST_CASE("a new coordinator waits until the one before lends no more", "[account_tokens]") {
+  Chain it;
+  it.coordinator.Follow(At(1));
+  LendingStart start;
+  start.generation = 2;
+  start.predecessor = "c";
+  start.predecessor_generation = 1;
+  start.took_over_at = start.confirmed_at = At(1);
+  it.relay.Lead(start);
+  it.relay.Confirm(At(3));
+  CHECK_FALSE(it.relay.MayLend(At(1.5)));
+  CHECK(it.relay.Free("a", At(1.5)) == 0);
+  CHECK(it.relay.MayLend(At(2.5)));
+  SECTION("or until that one says so") {
+    it.coordinator.SetLenders({"r"}, 2, LoanRole::kBorrower);
+    it.coordinator.SetWaiting("a", 1);
+    it.Exchange(At(1.5));
+    CHECK(it.relay.MayLend(At(1.5)));
+  }
+  SECTION("but not for its next life, which does not know") {
+    AccountTokens reborn(kTolerance);
+    reborn.SetIdentity("c", 8);
+    reborn.Configure("a", 50, 50);
+    reborn.SetLenders({"r"}, 2, LoanRole::kBorrower);
+    reborn.SetWaiting("a", 1);
+    reborn.Tick(At(1.5));
+    for (const LoanMessage& message : reborn.TakeMessages()) it.Deliver(message, At(1.5));
+    CHECK_FALSE(it.relay.MayLend(At(1.5)));
+  }
+}
+
+TEST_CASE("a relay that becomes the coordinator does not use what it has lent",
+          "[account_tokens]") {
+  Chain it;
+  it.member.SetWaiting("a", 10);
+  it.Exchange(At(1));
+  REQUIRE(it.member.Free("a", At(1)) >= 10);
+  const std::uint32_t own = it.relay.Free("a", At(1));
+  LendingStart start;
+  start.generation = 2;
+  start.took_over_at = start.confirmed_at = At(1);
+  it.relay.Lead(start);
+  CHECK(it.relay.Free("a", At(1)) <= own);
+}
+
+TEST_CASE("a request that no lender can be asked for is refused at once", "[account_tokens]") {
+  Chain it;
+  it.member.SetLenders({}, 1, LoanRole::kMember);
+  const AccountTokens::Decision decision = it.member.Admit("a", false, At(1));
+  CHECK(decision.verdict == Verdict::kUnknown);
+  CHECK(decision.retry_after > Duration{0});
+  SECTION("also when the lender has been silent for a while") {
+    it.member.SetLenders({"nobody"}, 1, LoanRole::kMember);
+    CHECK(it.member.Admit("a", false, At(1)).verdict == Verdict::kWait);
+    it.member.Tick(At(1));
+    CHECK(it.member.Admit("a", true, At(1.2)).verdict == Verdict::kWait);
+    CHECK(it.member.Admit("a", true, At(1.4)).verdict == Verdict::kUnknown);
+  }
+}
+
+TEST_CASE("a refusal names the time to come back", "[account_tokens]") {
+  Chain it;
+  AccountTokens::Decision decision;
+  for (int i = 0; i < 200; ++i) decision = it.coordinator.Admit("a", false, At(1));
+  for (int i = 0; i < 20; ++i) {
+    it.coordinator.SetWaiting("a", static_cast<std::size_t>(i));
+    decision = it.coordinator.Admit("a", false, At(1));
+  }
+  CHECK(decision.verdict == Verdict::kOverLimit);
+  CHECK(decision.retry_after >= std::chrono::milliseconds(100));
+  CHECK(decision.retry_after <= std::chrono::seconds(2));
+  CHECK(it.coordinator.Admit("unknown", false, At(1)).verdict == Verdict::kAdmitted);
+}
+
+}  // namespace
+}  // namespace dogwoodport::fleet
--- /dev/null
+++ b/tests/fleet/unit-limits_large_fleet.cpp
@@ -0,0 +1,15 @@
+// The loads of a large fleet with further seeds.
+
+#include "fleet/account_load.h"
+
+namespace dogwoodport::fleet {
+namespace {
+
+TEST_CASE("a client account gets its rate and no more in a large fleet", "[limits_large_fleet]") {
+  const Load load = GENERATE(from_range(kLargeFleetLoads));
+  const int seed = GENERATE(range(1, 31));
+  CheckLoad(load, static_cast<std::uint64_t>(seed));
+}
+
+}  // namespace
+}  // namespace dogwoodport::fleet
