Count as waiting at a borrower only the requests that its tokens do not cover

Cause: a borrower's missing tokens were those for waiting requests and for its stock together, so that a request that had got its token still counted as waiting while the stock was not filled, as after a take-over with an empty bucket. The coordinator then told all borrowers that the account had a backlog.

Now the borrower says what it has lent on, and the lender counts what is in its hands against waiting requests first.

--- a/packages/fleet/include/dogwoodport/fleet/limits/loan_book.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/loan_book.h
@@ -30,17 +30,21 @@
     std::uint32_t granted = 0;
     std::uint32_t used = 0;
     std::uint32_t returned = 0;
-    /// What the borrower asked for last.
+    /// What the borrower said last.
+    std::uint32_t lent = 0;
     std::uint32_t needed = 0;
     std::uint32_t stock = 0;
     float demand = 0;
-    TimePoint asked_at{};
 
     std::uint32_t outstanding() const noexcept { return granted - used - returned; }
-    /// Tokens that are missing to what the borrower asked for.
+    /// Tokens that the borrower has, or will have once the latest grant has arrived.
+    std::uint32_t in_hand() const noexcept {
+      return outstanding() > lent ? outstanding() - lent : 0;
+    }
+    /// Tokens that are missing for waiting requests, and for these and the stock.
+    std::uint32_t need() const noexcept { return needed > in_hand() ? needed - in_hand() : 0; }
     std::uint32_t missing() const noexcept {
-      const std::uint32_t wanted = needed + stock;
-      return wanted > outstanding() ? wanted - outstanding() : 0;
+      return needed + stock > in_hand() ? needed + stock - in_hand() : 0;
     }
   };
 
@@ -86,8 +90,7 @@
   };
 
   void End(Session& session, std::vector<Settlement>& settled);
-  void Apply(Session& session, const LoanLine& said, bool counts, std::vector<Settlement>& settled,
-             TimePoint now);
+  void Apply(Session& session, const LoanLine& said, bool counts, std::vector<Settlement>& settled);
 
   std::unordered_map<std::string, Session> sessions_;
   std::unordered_map<AccountHash, Total> totals_;
--- a/packages/fleet/include/dogwoodport/fleet/limits/token_loan.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/token_loan.h
@@ -24,14 +24,16 @@
   std::uint32_t used = 0;
   /// Tokens that it gives back unused.
   std::uint32_t returned = 0;
-  /// Requests that wait for a token.
+  /// Tokens that it has lent to others and that are out.
+  std::uint32_t lent = 0;
+  /// Requests that wait for a token, here or at those that it lends to.
   std::uint32_t needed = 0;
   /// Tokens that it would like to hold besides.
   std::uint32_t stock = 0;
   /// Requests per second that arrive, refused ones included.
   float demand = 0;
 
-  MSGPACK_DEFINE_ARRAY(account, used, returned, needed, stock, demand)
+  MSGPACK_DEFINE_ARRAY(account, used, returned, lent, needed, stock, demand)
 };
 
 /// Asks a lender for tokens, and settles earlier loans.
--- a/packages/fleet/src/limits/account_lending.cc
+++ b/packages/fleet/src/limits/account_lending.cc
@@ -112,7 +112,7 @@
   for (const Missing& it : missing_) {
     if (it.account != account) continue;
     const LoanBook::Line* const line = book_.Find(it.borrower, account);
-    if (line != nullptr) n += std::min(line->needed, line->missing());
+    if (line != nullptr) n += line->need();
   }
   return n;
 }
@@ -148,7 +148,7 @@
   const double cap = CapOf(entry->rate, entry->burst, tolerance_, Takeovers(now));
   const double total = std::max<double>(book_.Demand(account) + entry->demand.PerSecond(now), 0.01);
   const double share = std::clamp(line.demand / total, kSmallestShare, 1.0);
-  const double need = std::min(line.needed, line.missing());
+  const double need = line.need();
   const double reserve =
       std::max(settings_.reserve * cap, std::min(settings_.smallest_reserve, cap / 2));
   if (Takeovers(now) > 0) return RoundDown(std::min(available, need));
@@ -170,15 +170,14 @@
   if (session == nullptr || entry == nullptr) return 0;
   const std::uint32_t free = FreeIn(backing_, *session, account, now);
   const std::uint32_t available = free > entry->waiting ? free - entry->waiting : 0;
-  const std::uint32_t need = std::min({line.needed, line.missing(), available});
+  const std::uint32_t need = std::min(line.need(), available);
   return session->scarce ? need : need + std::min(line.missing() - need, (available - need) / 2);
 }
 
 std::uint32_t AccountTokens::WaitFor(AccountHash account, const LoanBook::Line& line,
                                      TimePoint now) {
   const Entry* const entry = Find(account);
-  const std::uint32_t missing = std::min(line.needed, line.missing());
-  if (entry == nullptr || missing == 0) return 0;
+  if (entry == nullptr || line.need() == 0) return 0;
   Duration wait{0};
   if (start_) {
     const Duration backlog = Backlog(account, *entry, 0);
@@ -235,7 +234,7 @@
     accounts.push_back(it.account);
     const LoanBook::Line& line = *book_.Find(request.borrower, it.account);
     book_.Lend(request.borrower, it.account, Lent(it.account, Lendable(it.account, line, now)));
-    if (std::min(line.needed, line.missing()) == 0) continue;
+    if (line.need() == 0) continue;
     missing_.push_back({request.borrower, it.account, now + kMissingTime});
     ask_now_ = true;
   }
@@ -259,7 +258,7 @@
       book_.Lend(it.borrower, it.account, Lent(it.account, n));
       served[it.borrower].push_back(it.account);
     }
-    if (std::min(line->needed, line->missing()) > 0) left.push_back(std::move(it));
+    if (line->need() > 0) left.push_back(std::move(it));
   }
   missing_ = std::move(left);
   for (const auto& [borrower, accounts] : served) SendGrant(borrower, accounts, now);
--- a/packages/fleet/src/limits/account_tokens.cc
+++ b/packages/fleet/src/limits/account_tokens.cc
@@ -216,6 +216,7 @@
   const double demand = entry.demand.PerSecond(now) + (relay ? book_.Demand(account) : 0);
   LoanLine line;
   line.account = account;
+  line.lent = key == backing_ ? book_.Outstanding(account) : 0;
   line.demand = static_cast<float>(demand);
   line.needed = entry.waiting + MissingOf(account);
   line.stock = role_ == LoanRole::kMember ? RoundDown(demand * Seconds(settings_.stock_at_relay))
@@ -234,7 +235,6 @@
   const bool is_news =
       holding.told != line.used + line.returned || line.demand < holding.told_demand / 2;
   if (!needs && !is_news && 2 * free >= line.stock) return std::nullopt;
-  if (relay) line.stock = std::max(line.stock, book_.Outstanding(account));
   return line;
 }
 
@@ -260,7 +260,7 @@
       if (entry != nullptr && entry->waiting == 0) holding.returned += holding.held();
       if (holding.told == holding.used + holding.returned) continue;
       holding.told = holding.used + holding.returned;
-      request.lines.push_back({account, holding.used, holding.returned, 0, 0, 0});
+      request.lines.push_back({account, holding.used, holding.returned, 0, 0, 0, 0});
     }
     if (!request.lines.empty()) messages_.push_back({std::get<0>(key), std::move(request)});
   }
--- a/packages/fleet/src/limits/loan_book.cc
+++ b/packages/fleet/src/limits/loan_book.cc
@@ -18,13 +18,13 @@
   session.stamp_us = std::max(session.stamp_us, request.stamp_us);
   const bool counts = is_ours && request.session == session.number;
   for (const LoanLine& said : request.lines) {
-    Apply(session, said, counts, settled, now);
+    Apply(session, said, counts, settled);
   }
   return settled;
 }
 
 void LoanBook::Apply(Session& session, const LoanLine& said, bool counts,
-                     std::vector<Settlement>& settled, TimePoint now) {
+                     std::vector<Settlement>& settled) {
   Line& line = session.lines[said.account];
   Total& total = totals_[said.account];
   if (counts) {
@@ -40,10 +40,10 @@
     }
   }
   total.demand += said.demand - line.demand;
+  line.lent = said.lent;
   line.needed = said.needed;
   line.stock = said.stock;
   line.demand = said.demand;
-  line.asked_at = now;
 }
 
 void LoanBook::End(Session& session, std::vector<Settlement>& settled) {
--- a/tests/fleet/unit-account_tokens.cpp
+++ b/tests/fleet/unit-account_tokens.cpp
@@ -213,6 +213,27 @@
   }
 }
 
+TEST_CASE("a stock that is not filled does not count as waiting requests", "[account_tokens]") {
+  LoanBook book;
+  LoanRequest request;
+  request.borrower = "r";
+  LoanLine line;
+  line.account = 1;
+  line.needed = 2;
+  line.stock = 30;
+  request.lines = {line};
+  REQUIRE(book.Receive(request, true, At(0)));
+  CHECK(book.Find("r", 1)->need() == 2);
+  book.Lend("r", 1, 2);
+  CHECK(book.Find("r", 1)->need() == 0);
+  CHECK(book.Find("r", 1)->missing() == 30);
+  // What the borrower has lent on is not in its hands.
+  request.session = book.MakeGrant("r", {1}, Duration{1'000'000}, At(2)).session;
+  request.lines[0].lent = 2;
+  REQUIRE(book.Receive(request, true, At(1)));
+  CHECK(book.Find("r", 1)->need() == 2);
+}
+
 TEST_CASE("a refusal names the time to come back", "[account_tokens]") {
   Chain it;
   AccountTokens::Decision decision;
