Tell a borrower again of loans whose grant was lost

Cause: a grant names the accounts of the request that it answers. When it was lost, the borrower's request ended without a token, and its later requests for other accounts kept the session, with the lost loan in it, alive; the token was out for good. By the log, the coordinator had lent 20 to 45 tokens of accounts whose cap is about that, and relays 1 to 5 each of accounts that had hardly a request.

Now each grant repeats up to 16 lines of what is in the borrower's hands, in turn, so that a lost one is made good within some requests. The new case of unit-account_tokens fails without the repeated lines (62 instead of 65 tokens at the coordinator).

--- a/packages/fleet/include/dogwoodport/fleet/limits/loan_book.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/loan_book.h
@@ -3,6 +3,7 @@
 /// @file
 /// What a lender has lent to each borrower.
 
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -66,9 +67,10 @@
   /// The line of a borrower, or nullptr.
   const Line* Find(const std::string& borrower, AccountHash account) const;
 
-  /// Makes the grant that tells a borrower where it stands. The loans of its session are valid for
-  /// `valid` from its latest request on, and count as out until `counted_until`. Without a session
-  /// the grant says that nothing can be lent.
+  /// Makes the grant that tells a borrower where it stands, with some lines more of what is in its
+  /// hands: it cannot use or give back a loan whose grant was lost. The loans of its session are
+  /// valid for `valid` from its latest request on, and count as out until `counted_until`. Without
+  /// a session the grant says that nothing can be lent.
   LoanGrant MakeGrant(const std::string& borrower, const std::vector<AccountHash>& accounts,
                       Duration valid, TimePoint counted_until);
 
@@ -82,7 +84,9 @@
     std::uint64_t number = 0;
     std::int64_t stamp_us = 0;
     TimePoint counted_until{};
-    std::unordered_map<AccountHash, Line> lines;
+    std::map<AccountHash, Line> lines;
+    /// Account that was told again last.
+    AccountHash retold = 0;
   };
   struct Total {
     std::uint32_t outstanding = 0;
@@ -90,6 +94,7 @@
   };
 
   void End(Session& session, std::vector<Settlement>& settled);
+  static void TellAgain(Session& session, LoanGrant& grant);
   void Apply(Session& session, const LoanLine& said, bool counts, std::vector<Settlement>& settled);
 
   std::unordered_map<std::string, Session> sessions_;
--- a/packages/fleet/src/limits/account_tokens.cc
+++ b/packages/fleet/src/limits/account_tokens.cc
@@ -181,6 +181,7 @@
     holding.granted = std::max(holding.granted, it.granted);
     Entry* const entry = Find(it.account);
     if (entry == nullptr) continue;
+    if (it.wait_ms == 0 && entry->waiting == 0) continue;
     entry->dry_wait = std::chrono::milliseconds(it.wait_ms);
     entry->dry_until = it.wait_ms == 0 ? TimePoint{} : now + std::min(kLongestDry, entry->dry_wait);
   }
--- a/packages/fleet/src/limits/loan_book.cc
+++ b/packages/fleet/src/limits/loan_book.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace dogwoodport::fleet {
+namespace {
+
+/// Lines in a grant that repeat what an earlier one has said.
+constexpr std::size_t kRetoldLines = 16;
+
+}  // namespace
 
 std::optional<std::vector<Settlement>> LoanBook::Receive(const LoanRequest& request, bool is_ours,
                                                          TimePoint now) {
@@ -13,7 +19,9 @@
   const bool lapsed = session.counted_until != TimePoint{} && now >= session.counted_until;
   if (is_new || request.incarnation != session.incarnation || lapsed) {
     End(session, settled);
-    session = Session{request.incarnation, ++last_number_, 0, TimePoint{}, {}};
+    session = Session{};
+    session.incarnation = request.incarnation;
+    session.number = ++last_number_;
   }
   session.stamp_us = std::max(session.stamp_us, request.stamp_us);
   const bool counts = is_ours && request.session == session.number;
@@ -104,9 +112,20 @@
   for (const AccountHash account : accounts) {
     grant.lines.push_back({account, session.lines[account].granted, 0});
   }
+  TellAgain(session, grant);
   return grant;
 }
 
+void LoanBook::TellAgain(Session& session, LoanGrant& grant) {
+  const std::size_t most = grant.lines.size() + kRetoldLines;
+  auto it = session.lines.upper_bound(session.retold);
+  for (std::size_t n = session.lines.size(); n > 0 && grant.lines.size() < most; --n, ++it) {
+    if (it == session.lines.end()) it = session.lines.begin();
+    if (it->second.in_hand() > 0) grant.lines.push_back({it->first, it->second.granted, 0});
+    session.retold = it->first;
+  }
+}
+
 std::uint32_t LoanBook::Outstanding(AccountHash account) const {
   const auto it = totals_.find(account);
   return it == totals_.end() ? 0 : it->second.outstanding;
--- a/tests/fleet/unit-account_tokens.cpp
+++ b/tests/fleet/unit-account_tokens.cpp
@@ -213,6 +213,26 @@
   }
 }
 
+TEST_CASE("a loan whose grant was lost is told again, although the borrower does not ask",
+          "[account_tokens]") {
+  Chain it;
+  it.relay.SetWaiting("a", 3);
+  it.relay.Tick(At(1));
+  for (const LoanMessage& message : it.relay.TakeMessages()) it.Deliver(message, At(1));
+  REQUIRE(it.coordinator.TakeMessages().size() == 1);
+  it.relay.SetWaiting("a", 0);
+  const std::uint32_t left = it.coordinator.Free("a", At(1));
+  it.coordinator.Confirm(At(1));
+  it.relay.Tick(At(2));
+  for (const LoanMessage& message : it.relay.TakeMessages()) it.Deliver(message, At(2));
+  it.coordinator.Confirm(At(2));
+  it.Exchange(At(2.2));
+  it.Exchange(At(2.4));
+  // The relay has no callers, so it gives the tokens back.
+  CHECK(it.relay.Free("a", At(2.4)) == 0);
+  CHECK(it.coordinator.Free("a", At(2.4)) >= left + 3);
+}
+
 TEST_CASE("a stock that is not filled does not count as waiting requests", "[account_tokens]") {
   LoanBook book;
   LoanRequest request;
