Forget requests that have stopped waiting for a token

The count of waiting requests was only brought up to date for accounts with some in the queue, so the last ones that timed out, or whose callers left, were counted for good: later requests of the account did not take tokens that were there, and lenders were told of a need that nobody had. The new case of unit-forwarder_tokens failed (503 instead of 200) and passes. RoundUp, which nothing called, is removed.

--- a/packages/fleet/src/limits/token_rounding.h
+++ b/packages/fleet/src/limits/token_rounding.h
@@ -4,16 +4,12 @@
 /// Rounding of tokens and of times to come back; private to the sources of the tokens.
 
 #include <algorithm>
-#include <cmath>
 #include <cstdint>
 
 #include "dogwoodport/core/types.h"
 
 namespace dogwoodport::fleet {
 
-inline std::uint32_t RoundUp(double n) {
-  return static_cast<std::uint32_t>(std::ceil(std::max(0.0, n)));
-}
 inline std::uint32_t RoundDown(double n) { return static_cast<std::uint32_t>(std::max(0.0, n)); }
 
 /// Keeps the time that a refused caller is told to wait within bounds.
--- a/packages/fleet/src/requests/forwarder_admission.cc
+++ b/packages/fleet/src/requests/forwarder_admission.cc
@@ -115,7 +115,6 @@
 
 void Forwarder::OnTokens() {
   for (auto& [account, queue] : token_queues_) {
-    if (queue.empty()) continue;
     queue.Offer(
         [this](Waiter& waiter) {
           const RequestPtr request(&static_cast<Request&>(waiter));
--- a/tests/fleet/unit-forwarder_tokens.cpp
+++ b/tests/fleet/unit-forwarder_tokens.cpp
@@ -63,6 +63,14 @@
   CHECK(world.arrivals == 0);
 }
 
+TEST_CASE("requests that have stopped waiting do not keep later ones from a token",
+          "[forwarder][tokens]") {
+  TokenWorld world;
+  REQUIRE(ForwarderWorld::StatusOf(world.Call("/write/x", "r1")) == 503);
+  world.Grant(1);
+  CHECK(ForwarderWorld::StatusOf(world.Call("/write/x", "r2")) == 200);
+}
+
 TEST_CASE("waiting requests of an account above its rate are refused at once",
           "[forwarder][tokens]") {
   TokenWorld world;
