Log the limits that targets name, and the requests sent to such targets

Change: the adapter reads the field; `target_limit_changed` tells when an instance learns of a limit or its end, `target_limit` tells once a second how many requests the instance has sent to such a target. Nothing is decided by it yet. The stand-in of a target can name a limit. LeavingTarget is renamed TargetIncarnation, since it also identifies targets with a limit. check_layers.sh knows the two names of the platform's announcements. An answer without the field ends a limit only if its request was sent after the limit was last named, as an older request may have been answered before.

--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -94,7 +94,7 @@
   void OnFeedPush(const FeedPush& push);
   void ForgetTarget(const std::string& id);
   /// Marks targets as leaving that another instance has reported.
-  void MarkLeaving(const std::vector<LeavingTarget>& targets);
+  void MarkLeaving(const std::vector<TargetIncarnation>& targets);
 
   void Register();
   void ReadInstances();
@@ -137,6 +137,10 @@
   void LogStatus();
   /// Logs the token usage of the busiest accounts.
   void LogAccounts();
+  /// Logs changes of the limits that targets name.
+  void LogTargetLimitChanges();
+  /// Logs the requests sent to targets with a limit.
+  void LogTargetLimitUsage();
   void CheckShutdown();
   bool Ready() const;
   net::HttpResponse MakeReadinessResponse() const;
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -56,7 +56,7 @@
   /// Busiest keys by service. Sent to the coordinator only.
   std::vector<std::pair<std::uint64_t, std::vector<BucketRate>>> key_load;
   /// Targets that are leaving although their heartbeats do not report it yet.
-  std::vector<LeavingTarget> leaving_targets;
+  std::vector<TargetIncarnation> leaving_targets;
   QuarantineReport quarantine;
 
   MSGPACK_DEFINE_ARRAY(address, incarnation, sequence_number, sent_at_us, data_centre,
@@ -92,7 +92,7 @@
   /// Instances that are reachable from the coordinator and not leaving.
   std::vector<InstanceSummary> instances;
   /// Same content as in PeerReport.
-  std::vector<LeavingTarget> leaving_targets;
+  std::vector<TargetIncarnation> leaving_targets;
   /// Instances that forward the coordinator's messages within their data centres. The instances of
   /// a data centre also report to its relays, so that the relays can convert timestamps.
   std::vector<std::string> relays;
--- a/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
@@ -3,9 +3,7 @@
 /// @file
 /// Directory of the targets, maintained from their heartbeats.
 
-#include <compare>
 #include <map>
-#include <msgpack.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -43,17 +41,6 @@
 /// Returns the name of a change for logs.
 const char* NameOf(TargetChange change) noexcept;
 
-/// A target that announced in a response that it is leaving.
-struct LeavingTarget {
-  std::string id;
-  std::uint64_t incarnation = 0;
-
-  // clang-tidy 14 mistakes the 0 in a defaulted comparison for a null pointer.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
-  friend auto operator<=>(const LeavingTarget&, const LeavingTarget&) = default;
-  MSGPACK_DEFINE_ARRAY(id, incarnation)
-};
-
 /// All targets by id.
 class TargetDirectory {
  public:
@@ -63,10 +50,10 @@
   /// Records that a target has announced that it is leaving. From then on it counts as draining,
   /// even if older heartbeats say otherwise or its entry is removed and added again. Returns kNone
   /// if the target was already marked.
-  TargetChange MarkLeaving(const LeavingTarget& target, TimePoint now);
+  TargetChange MarkLeaving(const TargetIncarnation& target, TimePoint now);
   /// Returns the marked targets whose heartbeats do not report yet that they are leaving. They are
   /// reported to the other instances.
-  std::vector<LeavingTarget> LeavingTargets() const;
+  std::vector<TargetIncarnation> LeavingTargets() const;
   /// Removes marks older than `retention` if the target has no entry.
   void ForgetLeavingMarks(TimePoint now, Duration retention);
 
@@ -88,13 +75,13 @@
 
  private:
   /// Whether the current entry of a target belongs to the leaving incarnation.
-  bool HasIncarnation(const LeavingTarget& target) const;
+  bool HasIncarnation(const TargetIncarnation& target) const;
   void Erase(std::map<std::string, Target>::iterator it);
 
   std::map<std::string, Target> targets_;
   std::map<std::string, std::map<std::string, const Target*>> by_service_;
   /// Time at which each target was marked as leaving.
-  std::map<LeavingTarget, TimePoint> leaving_marks_;
+  std::map<TargetIncarnation, TimePoint> leaving_marks_;
   std::uint64_t version_ = 1;
 };
 
--- a/packages/fleet/include/dogwoodport/fleet/membership/target_entry.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/target_entry.h
@@ -3,6 +3,8 @@
 /// @file
 /// Contents of a target's heartbeat.
 
+#include <compare>
+#include <msgpack.hpp>
 #include <optional>
 #include <string>
 
@@ -12,6 +14,17 @@
 
 enum class TargetPhase { kReady, kDraining };
 
+/// One life of a target, from its start to its end.
+struct TargetIncarnation {
+  std::string id;
+  std::uint64_t incarnation = 0;
+
+  // clang-tidy 14 mistakes the 0 in a defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  friend auto operator<=>(const TargetIncarnation&, const TargetIncarnation&) = default;
+  MSGPACK_DEFINE_ARRAY(id, incarnation)
+};
+
 /// One heartbeat of a target.
 struct TargetEntry {
   std::string id;
--- a/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
@@ -11,6 +11,7 @@
 #include "dogwoodport/fleet/limits/account_tokens.h"
 #include "dogwoodport/fleet/limits/cold_limiter.h"
 #include "dogwoodport/fleet/limits/retry_budget.h"
+#include "dogwoodport/fleet/limits/target_limits.h"
 #include "dogwoodport/fleet/membership/target_directory.h"
 #include "dogwoodport/fleet/ownership/key_load.h"
 #include "dogwoodport/fleet/ownership/key_table.h"
@@ -46,6 +47,7 @@
   KeyLoadMeter key_load;
 
   AccountTokens accounts;
+  TargetLimits target_limits;
   RetryBudget retry_budget;
   ColdLimiter cold_limiter;
   Quarantine quarantine;
--- a/packages/fleet/include/dogwoodport/fleet/target_protocol.h
+++ b/packages/fleet/include/dogwoodport/fleet/target_protocol.h
@@ -53,6 +53,10 @@
   bool has_signature = false;
   /// The target is leaving and accepts no further requests.
   bool leaving = false;
+  /// Number of requests per second that the target takes from all instances together.
+  std::optional<double> request_limit;
+  /// The target names a limit that cannot be read. It neither sets nor ends one.
+  bool request_limit_malformed = false;
   /// The target is at capacity. This instance must not send it requests for this duration.
   std::optional<Duration> back_off;
   std::optional<LoadReport> load;
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -272,6 +272,7 @@
   forwarder_.OnTokensAvailable();
   ExchangeTokens();
   LogQuarantine();
+  LogTargetLimitChanges();
   SendUrgentUpdates();
   operators_.SetAlwaysReads(coordinator_.leading());
   targets_.SetAlwaysReads(coordinator_.leading());
@@ -325,6 +326,7 @@
   caller_.Maintain();
   LogStatus();
   LogAccounts();
+  LogTargetLimitUsage();
   log_.Flush();
 }
 
@@ -345,6 +347,29 @@
   }
 }
 
+void Instance::LogTargetLimitChanges() {
+  const auto value = [](std::optional<double> rate) {
+    return rate ? nlohmann::json(*rate) : nlohmann::json();
+  };
+  for (const TargetLimitChange& it : view_.target_limits.TakeChanges()) {
+    log_.Write(LogLevel::kInfo, "target_limit_changed",
+               {{"target", it.target.id},
+                {"incarnation", it.target.incarnation},
+                {"rate_per_s", value(it.rate)},
+                {"previous_per_s", value(it.previous)}});
+  }
+}
+
+void Instance::LogTargetLimitUsage() {
+  for (const TargetLimitUsage& it : view_.target_limits.TakeUsage(loop_.now())) {
+    log_.Write(LogLevel::kInfo, "target_limit",
+               {{"target", it.target.id},
+                {"rate_per_s", it.rate},
+                {"sent", it.sent},
+                {"age_ms", it.age.count() / 1000}});
+  }
+}
+
 void Instance::LogStatus() {
   const ForwarderCounters& counters = forwarder_.counters();
   log_.Write(LogLevel::kInfo, "status",
--- a/packages/fleet/src/instance_feeds.cc
+++ b/packages/fleet/src/instance_feeds.cc
@@ -137,8 +137,8 @@
   view_.cold_limiter.Forget(id);
 }
 
-void Instance::MarkLeaving(const std::vector<LeavingTarget>& targets) {
-  for (const LeavingTarget& it : targets) {
+void Instance::MarkLeaving(const std::vector<TargetIncarnation>& targets) {
+  for (const TargetIncarnation& it : targets) {
     OnTargetChange(it.id, view_.directory.MarkLeaving(it, loop_.now()));
   }
 }
--- a/packages/fleet/src/membership/target_directory.cc
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -57,12 +57,12 @@
   return change;
 }
 
-bool TargetDirectory::HasIncarnation(const LeavingTarget& target) const {
+bool TargetDirectory::HasIncarnation(const TargetIncarnation& target) const {
   const Target* const found = Find(target.id);
   return found != nullptr && found->entry.incarnation == target.incarnation;
 }
 
-TargetChange TargetDirectory::MarkLeaving(const LeavingTarget& target, TimePoint now) {
+TargetChange TargetDirectory::MarkLeaving(const TargetIncarnation& target, TimePoint now) {
   if (!leaving_marks_.try_emplace(target, now).second) return TargetChange::kNone;
   if (!HasIncarnation(target)) return TargetChange::kNone;
   TargetPhase& phase = targets_.at(target.id).entry.phase;
@@ -72,8 +72,8 @@
   return TargetChange::kLeaving;
 }
 
-std::vector<LeavingTarget> TargetDirectory::LeavingTargets() const {
-  std::vector<LeavingTarget> result;
+std::vector<TargetIncarnation> TargetDirectory::LeavingTargets() const {
+  std::vector<TargetIncarnation> result;
   for (const auto& [target, since] : leaving_marks_) {
     const bool is_current = HasIncarnation(target);
     if (is_current && targets_.at(target.id).heartbeat_phase == TargetPhase::kReady) {
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -172,6 +172,7 @@
   request.sent_at = now();
   view_.health[target.entry.id].OnSend();
   if (view_.IsCold(target, now())) view_.cold_limiter.Take(target.entry.id, now());
+  view_.target_limits.OnSend({target.entry.id, target.entry.incarnation});
   const net::HttpRequest& original = request.exchange->request();
   net::HttpRequest forwarded_head;
   forwarded_head.method = original.method;
@@ -222,6 +223,12 @@
 void Forwarder::ApplyResponseFields(const Request& request, const ResponseFields& response_fields) {
   TargetHealth& health = view_.health[request.target_id];
   if (response_fields.load) health.OnLoadReport(*response_fields.load, now());
+  // Only a response to a request that ran can end a limit.
+  if (response_fields.request_limit ||
+      (response_fields.has_signature && !response_fields.request_limit_malformed)) {
+    view_.target_limits.OnResponse({request.target_id, request.target_incarnation},
+                                   response_fields.request_limit, request.sent_at, now());
+  }
   if (response_fields.back_off) {
     const Duration pause =
         FromSeconds(Seconds(*response_fields.back_off) * (1 + kBackOffJitter * Random()));
@@ -229,7 +236,7 @@
     LogRequest(LogLevel::kInfo, "target_backs_off", request, {{"pause_ms", pause.count() / 1000}});
   }
   if (!response_fields.leaving || view_.directory.Find(request.target_id) == nullptr) return;
-  const LeavingTarget leaving{request.target_id, request.target_incarnation};
+  const TargetIncarnation leaving{request.target_id, request.target_incarnation};
   if (view_.directory.MarkLeaving(leaving, now()) == TargetChange::kNone) return;
   LogRequest(LogLevel::kInfo, "target_leaves", request,
              {{"incarnation", request.target_incarnation}});
--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -16,7 +16,7 @@
   failed=1
 fi
 # The names of the users' platform stand in platform/ and deploy/ only.
-wire='X-Dogwoodport|log-append|log-read|log-newest|log-join|coldRemaining|pathPrefix|apiKeys|hold_time|targetLatency|ratePerS|trafficSplit|healthPath|internalPortRange|keyed\.(op|servers)|DOGWOODPORT_CONFIG'
+wire='X-Dogwoodport|Server-Leaving|Server-Limit|log-append|log-read|log-newest|log-join|coldRemaining|pathPrefix|apiKeys|hold_time|targetLatency|ratePerS|trafficSplit|healthPath|internalPortRange|keyed\.(op|servers)|DOGWOODPORT_CONFIG'
 if grep -rnE "$wire" packages standin tools tests --include=*.h --include=*.cc --include=*.cpp | grep -v '^tests/platform/'; then
   echo "a name of the platform stands outside platform/ and deploy/"
   failed=1
--- a/tests/fleet/forwarder_world.h
+++ b/tests/fleet/forwarder_world.h
@@ -44,6 +44,7 @@
     result.not_run = response.fields.Find("Not-Run") != nullptr;
     result.has_signature = response.fields.Find("Signed") != nullptr;
     result.leaving = response.fields.Find("Leaving") != nullptr;
+    if (const auto rate = Number(response.fields, "Limit")) result.request_limit = *rate;
     if (const auto ms = Number(response.fields, "Back-Off")) {
       result.back_off = std::chrono::milliseconds(*ms);
     }
--- a/tests/fleet/unit-routing.cpp
+++ b/tests/fleet/unit-routing.cpp
@@ -206,7 +206,7 @@
   entry.service = "s";
   entry.incarnation = 7;
   entry.sequence = 3;
-  const LeavingTarget mark{"t", 7};
+  const TargetIncarnation mark{"t", 7};
   const bool known_before = GENERATE(false, true);
   if (known_before) directory.Apply(entry, now);
   const TargetChange change = directory.MarkLeaving(mark, now);
@@ -217,7 +217,7 @@
   ++entry.sequence;
   directory.Apply(entry, now);
   CHECK(directory.Find("t")->entry.phase == TargetPhase::kDraining);
-  CHECK(directory.LeavingTargets() == std::vector<LeavingTarget>{mark});
+  CHECK(directory.LeavingTargets() == std::vector<TargetIncarnation>{mark});
   directory.Remove("t", now, false, Duration{0});
   CHECK(directory.LeavingTargets().empty());
   ++entry.sequence;
--- a/tests/platform/unit-wire_protocol.cpp
+++ b/tests/platform/unit-wire_protocol.cpp
@@ -130,6 +130,34 @@
   CHECK(response_fields.back_off == example.back_off);
 }
 
+struct LimitExample {
+  std::optional<std::string> field;
+  std::optional<double> limit;
+  bool malformed;
+};
+
+TEST_CASE("a response may name the rate that its target takes from all instances together",
+          "[wire_protocol]") {
+  const auto example = GENERATE(values<LimitExample>({
+      {std::nullopt, std::nullopt, false},
+      {"27.5", 27.5, false},
+      {"0.25", 0.25, false},
+      {"3", 3.0, false},
+      {"0", 0.0, false},
+      {"-1", std::nullopt, true},
+      {"nan", std::nullopt, true},
+      {"inf", std::nullopt, true},
+      {"", std::nullopt, true},
+      {"5 per second", std::nullopt, true},
+  }));
+  net::HttpResponse response;
+  response.status = 200;
+  if (example.field) response.fields.Add("Server-Limit", *example.field);
+  const fleet::ResponseFields response_fields = WireProtocol().ReadResponse(response);
+  CHECK(response_fields.request_limit == example.limit);
+  CHECK(response_fields.request_limit_malformed == example.malformed);
+}
+
 TEST_CASE("an error response states whether the request ran and when to retry", "[wire_protocol]") {
   const net::HttpResponse refusal =
       WireProtocol().MakeResponse(503, "overloaded", false, "r1", milliseconds(250));
