Keep the limits that targets name, over all instances together

Cause: nothing read the limit. Class of fault: a bound over all instances that has no shared state (as accounts and cold targets before).

Change: the limit is a budget of the tokens that already bound client accounts: rate N, no burst, 4 s, tolerance 0.3 x 4 N + 4 (operators allow 0.5 and 5; the rest is for requests that arrive closer together than they were sent). Every send to a target that is known to be limited uses a token, whether it is a first send, a retry, a replacement of a slow attempt, or leaves a queue. Instances tell each other the limits in urgent and regular reports, the coordinator of a large fleet in its digests; the newer observation counts, and an end of a limit only if it cannot be older than the last naming. A target of a service without keys is left out of the selection without a token; a request for the owner of a key waits, or is refused at once with the next return that the limit has room for. The planner takes the limit as capacity.

Ruled out: a fixed share for each instance, or a few senders chosen by hash as for cold targets: a cap of one on each of 295 instances is more than a limit of 27 allows, N may be below one, and different lists of instances would choose different senders.

Accounts are not affected: their entries keep their tolerance, and a request for tokens is still sent at once when one starts to wait.

--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -35,7 +35,7 @@
   /// Maximum number of connections from callers.
   std::size_t max_caller_connections = 3'000;
   RetryBound retry_bound;
-  AccountTolerance account_tolerance;
+  RateTolerance account_tolerance;
   /// Limit on the requests per second to a cold target from all instances together: `cold_factor`
   /// times its cold rate, plus `cold_extra`.
   double cold_factor = 1.5;
--- a/packages/fleet/include/dogwoodport/fleet/limits/account_tokens.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/account_tokens.h
@@ -16,6 +16,9 @@
 /// starts with an empty bucket, and keeps to a smaller cap until the loans of its predecessors have
 /// expired. The caps and the accrual together stay within the bound set by the operators; see
 /// `TokenCap`.
+///
+/// Other bounds over all instances use the same tokens as budgets of their own; see
+/// target_limits.h.
 
 #include <map>
 #include <optional>
@@ -31,10 +34,10 @@
 
 namespace dogwoodport::fleet {
 
-/// Excess over the rate and burst of an account that the operators tolerate. In any `window`, the
+/// Excess over a rate and burst that is tolerated. In any `window`, the
 /// fleet may admit `overshoot` times what rate and burst allow in it, and `slack` requests, in
 /// addition.
-struct AccountTolerance {
+struct RateTolerance {
   Duration window{5'000'000};
   double overshoot = 0;
   double slack = 0;
@@ -47,14 +50,13 @@
 
 /// Returns the rate at which tokens of an account accrue: its configured rate plus a share of the
 /// tolerance. The share compensates for tokens that are lost with an instance.
-double AccrualRate(double rate, double burst, const AccountTolerance& tolerance) noexcept;
+double AccrualRate(double rate, double burst, const RateTolerance& tolerance) noexcept;
 
 /// Returns the maximum number of tokens that a coordinator may hold and have lent out together.
 /// `takeovers` is the number of take-overs whose loans may still be valid, including the current
 /// one. It is 0 if no loan of an earlier coordinator can be valid. The caps for all values of
 /// `takeovers` add up to the burst plus the part of the tolerance that `AccrualRate` does not use.
-double TokenCap(double rate, double burst, const AccountTolerance& tolerance,
-                int takeovers) noexcept;
+double TokenCap(double rate, double burst, const RateTolerance& tolerance, int takeovers) noexcept;
 
 /// Durations and limits of the lending protocol.
 struct LoanSettings {
@@ -116,10 +118,10 @@
     Duration retry_after{0};
   };
 
-  explicit AccountTokens(AccountTolerance tolerance = {}, LoanSettings settings = {})
+  explicit AccountTokens(RateTolerance tolerance = {}, LoanSettings settings = {})
       : tolerance_(tolerance), settings_(settings) {}
 
-  void SetTolerance(AccountTolerance tolerance) noexcept { tolerance_ = tolerance; }
+  void SetTolerance(RateTolerance tolerance) noexcept { tolerance_ = tolerance; }
   /// Sets the address and incarnation by which other instances identify this one.
   void SetIdentity(std::string address, std::uint64_t incarnation);
 
@@ -128,6 +130,18 @@
   /// Removes all accounts that are not in `names`.
   void RetainAccounts(const std::vector<std::string>& names);
 
+  /// Adds or changes a budget that is not a client account's. It has no burst. Its bucket starts
+  /// empty. `rate` must be positive.
+  void ConfigureBudget(const std::string& name, double rate, const RateTolerance& tolerance);
+  void RemoveBudget(const std::string& name);
+  /// Uses one token of a budget. Returns false if this instance has none.
+  bool TryTake(const std::string& name, TimePoint now);
+  /// Counts a request that would use a token of a budget if there were one.
+  void AddDemand(const std::string& name, TimePoint now);
+  /// Returns the time after which a waiting request can expect a token, according to the latest
+  /// response of the lender; 0 if the lender has not reported that it has no tokens.
+  Duration ReportedWait(const std::string& name, TimePoint now) const;
+
   /// Makes this instance the coordinator.
   void BecomeCoordinator(const LendingStart& start);
   /// Records that the store confirmed the coordinator role of this instance as of `at`.
@@ -144,7 +158,7 @@
   /// before.
   /// Complexity: constant on average.
   Decision Admit(const std::string& account, bool is_retry, TimePoint now);
-  /// Sets the number of requests of an account that wait for a token.
+  /// Sets the number of requests of an account or budget that wait for a token.
   void SetWaiting(const std::string& account, std::size_t n);
 
   void OnRequest(const LoanRequest& request, TimePoint now);
@@ -196,6 +210,8 @@
     std::string name;
     double rate = 0;
     double burst = 0;
+    /// Set if the entry is not a client account. Accounts share one tolerance.
+    std::optional<RateTolerance> own_tolerance;
     RateMeter demand{Duration{2'000'000}};
     std::uint32_t waiting = 0;
     /// Time until which the lender has reported that it has no tokens, and the retry time that it
@@ -239,6 +255,11 @@
   };
 
   Entry* Find(AccountHash account);
+  const RateTolerance& ToleranceOf(const Entry& entry) const noexcept {
+    return entry.own_tolerance ? *entry.own_tolerance : tolerance_;
+  }
+  double AccrualRateOf(const Entry& entry) const noexcept;
+  double TokenCapOf(const Entry& entry, int takeovers) const noexcept;
   /// Adds the tokens that have accrued in the coordinator's bucket since the last call.
   void Accrue(AccountHash account, Entry& entry, TimePoint now);
   Duration WithDrift(Duration d) const noexcept;
@@ -284,7 +305,7 @@
   /// Returns the interval between settlements with a lender.
   Duration SettleIntervalFor(const LenderState& state) const;
 
-  AccountTolerance tolerance_;
+  RateTolerance tolerance_;
   LoanSettings settings_;
   std::string address_;
   std::uint64_t incarnation_ = 0;
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "dogwoodport/fleet/event_log.h"
+#include "dogwoodport/fleet/limits/target_limits.h"
 #include "dogwoodport/fleet/limits/token_bucket.h"
 #include "dogwoodport/fleet/limits/token_loan.h"
 #include "dogwoodport/fleet/membership/target_directory.h"
@@ -58,10 +59,11 @@
   /// Targets that are leaving although their heartbeats do not report it yet.
   std::vector<TargetIncarnation> leaving_targets;
   QuarantineReport quarantine;
+  std::vector<TargetLimitReport> target_limits;
 
   MSGPACK_DEFINE_ARRAY(address, incarnation, sequence_number, sent_at_us, data_centre,
                        processor_share, leading, leaving, store_age_ms, generation, revision,
-                       wants_table, urgent, key_load, leaving_targets, quarantine)
+                       wants_table, urgent, key_load, leaving_targets, quarantine, target_limits)
 };
 
 /// Number of requests that an instance has in flight, by hash of the target. Sent more often than
@@ -97,8 +99,10 @@
   /// a data centre also report to its relays, so that the relays can convert timestamps.
   std::vector<std::string> relays;
   QuarantineReport quarantine;
+  std::vector<TargetLimitReport> target_limits;
 
-  MSGPACK_DEFINE_ARRAY(address, sequence_number, instances, leaving_targets, relays, quarantine)
+  MSGPACK_DEFINE_ARRAY(address, sequence_number, instances, leaving_targets, relays, quarantine,
+                       target_limits)
 };
 
 /// Records that the coordinator has read from a feed of the store, addressed to one other instance.
--- a/packages/fleet/include/dogwoodport/fleet/overload/waiting_queue.h
+++ b/packages/fleet/include/dogwoodport/fleet/overload/waiting_queue.h
@@ -7,6 +7,7 @@
 /// served within their latency objective wait in order of priority. All others are refused
 /// immediately.
 
+#include <algorithm>
 #include <boost/intrusive/list.hpp>
 #include <functional>
 #include <optional>
@@ -50,6 +51,14 @@
   std::size_t CountAhead(int priority) const;
   bool empty() const noexcept { return waiters_.empty(); }
   std::size_t size() const;
+  template <typename Predicate>
+  std::size_t CountIf(const Predicate& predicate) const {
+    return static_cast<std::size_t>(std::count_if(waiters_.begin(), waiters_.end(), predicate));
+  }
+  template <typename Function>
+  void ForEach(const Function& function) const {
+    for (const Waiter& it : waiters_) function(it);
+  }
 
   /// Calls `dispatch` for the waiting requests in order. `dispatch` sends the request and returns
   /// true, or returns false (a miss) if no target is available. After a miss, later requests are
--- a/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
@@ -25,7 +25,7 @@
 /// This instance's view of the fleet. Feed readers and peer exchange update it; the forwarder reads
 /// it and adds its own observations.
 struct FleetView {
-  FleetView(RetryBound retry_bound, AccountTolerance tolerance)
+  FleetView(RetryBound retry_bound, RateTolerance tolerance)
       : accounts(tolerance), retry_budget(retry_bound) {}
 
   std::string data_centre;
@@ -47,7 +47,7 @@
   KeyLoadMeter key_load;
 
   AccountTokens accounts;
-  TargetLimits target_limits;
+  TargetLimits target_limits{accounts};
   RetryBudget retry_budget;
   ColdLimiter cold_limiter;
   Quarantine quarantine;
--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -37,8 +37,10 @@
   kQuarantined,
   /// No token lender is reachable, so it is unknown whether the account is within its rate.
   kRateUnknown,
+  /// The only suitable target has named a limit, which has no room in time.
+  kTargetLimited,
 };
-inline constexpr std::size_t kRefusalCount = 13;
+inline constexpr std::size_t kRefusalCount = 14;
 
 /// Settings of the data path.
 struct ForwarderSettings {
@@ -88,7 +90,7 @@
 
   /// Called when a response of a target announces for the first time that the target is leaving.
   std::function<void(const std::string& id)> on_target_leaving;
-  /// Called when a request starts to wait for a token of its account.
+  /// Called when a request starts to wait for a token of its account or of its target.
   std::function<void()> on_token_needed;
 
   /// Handles a request of a caller.
@@ -98,6 +100,9 @@
   /// arrived.
   void OnTokensAvailable();
 
+  /// Requests tokens of the targets that have named a limit, for the requests that wait for them.
+  void RequestTargetTokens();
+
   /// Sends the waiting requests for which a target is now available. Called when targets, owners or
   /// the configuration have changed.
   void DispatchWaiting();
@@ -135,7 +140,13 @@
     RateMeter completions;
     Duration latency{0};
   };
-  enum class Placement { kFound, kNoCapacity, kNoTarget };
+  enum class Placement {
+    kFound,
+    kNoCapacity,
+    kNoTarget,
+    /// The owner of the key has named a limit, and this instance has no token for it.
+    kLimited,
+  };
 
   bool Admit(Request& request);
   /// Finds the account of the request's secret. Refuses the request if there is none.
@@ -149,6 +160,7 @@
   void StartRequest(const RequestPtr& request);
   Placement TrySend(Request& request);
   Placement Place(const Request& request, const Target*& target);
+  /// If the owner is limited, `target` is set as well.
   Placement PlaceAtOwner(const Request& request, const Target*& target);
   Placement PlaceAtAny(const Request& request, const Target*& target);
   /// Chooses the best of `targets` that the request may be sent to.
@@ -161,6 +173,12 @@
   void Send(Request& request, const Target& target);
   void SetUrgency(Request& request);
   void Enqueue(Request& request, Placement placement);
+  /// Refuses a request that waits for the owner of its key if the owner's limit has no room in
+  /// time, with `ahead` waiting requests before it. Returns whether it was refused.
+  bool RefuseLimited(Request& request, std::size_t ahead);
+  void RejectLimited(Request& request, std::size_t ahead);
+  /// Uses a token of the target if it has named a limit.
+  bool TakeTargetToken(const Target& target);
   void OnTargetResponse(Request& request, net::HttpResponse response);
   void OnNotExecuted(Request& request, const net::HttpResponse& response);
   /// Reports to the quarantine that the current attempt ended without a response. `failure` is
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -218,6 +218,7 @@
   if (coordinator_.leading() && peers_.UsesDigests()) return;
   report.leaving_targets = view_.directory.LeavingTargets();
   report.quarantine = view_.quarantine.MakeReport(now);
+  report.target_limits = view_.target_limits.MakeReport(now);
   for (auto& [service, rates] : view_.key_load.Busiest(now, settings_.max_reported_buckets)) {
     report.key_load.emplace_back(HashOf(service), std::move(rates));
   }
@@ -226,11 +227,13 @@
 void Instance::PrepareDigest(PeerDigest& digest) {
   digest.leaving_targets = view_.directory.LeavingTargets();
   digest.quarantine = view_.quarantine.MakeDigest(loop_.now());
+  digest.target_limits = view_.target_limits.MakeReport(loop_.now());
 }
 
 void Instance::OnDigest(const PeerDigest& digest) {
   MarkLeaving(digest.leaving_targets);
   view_.quarantine.OnReport(digest.quarantine, loop_.now());
+  view_.target_limits.OnReport(digest.target_limits, loop_.now());
 }
 
 void Instance::SendUrgentUpdates() {
@@ -269,6 +272,7 @@
   CheckCoordinator();
   peers_.SetLeading(coordinator_.leading());
   UpdateLending();
+  forwarder_.RequestTargetTokens();
   forwarder_.OnTokensAvailable();
   ExchangeTokens();
   LogQuarantine();
@@ -294,6 +298,7 @@
   const std::size_t known_peers = peers_.peers().size();
   view_.instance_count = known_peers + 1;
   view_.retry_budget.SetInstances(known_peers + 1);
+  view_.target_limits.SetInstances(known_peers + 1);
   // Includes unreachable instances. Instances may disagree on which peers are reachable, for
   // example after a simultaneous restart, but must choose the same senders.
   const std::vector<std::string> others = peers_.KnownAddresses();
@@ -321,6 +326,7 @@
     it = unused ? view_.health.erase(it) : std::next(it);
   }
   view_.directory.ForgetLeavingMarks(loop_.now(), kLeavingRetention);
+  view_.target_limits.Retain(view_.directory, loop_.now());
   MaintainQuarantine();
   forwarder_.Maintain();
   caller_.Maintain();
@@ -356,7 +362,9 @@
                {{"target", it.target.id},
                 {"incarnation", it.target.incarnation},
                 {"rate_per_s", value(it.rate)},
-                {"previous_per_s", value(it.previous)}});
+                {"previous_per_s", value(it.previous)},
+                {"first_hand", it.is_first_hand}});
+    urgent_update_pending_ = urgent_update_pending_ || it.is_first_hand;
   }
 }
 
@@ -366,6 +374,9 @@
                {{"target", it.target.id},
                 {"rate_per_s", it.rate},
                 {"sent", it.sent},
+                {"held_back", it.held_back},
+                {"queued", it.queued},
+                {"free", it.free},
                 {"age_ms", it.age.count() / 1000}});
   }
 }
@@ -419,6 +430,8 @@
   line("peers_reachable", peers_.reachable());
   line("log_lines_dropped_total", log_.dropped());
   line("quarantined_requests", view_.quarantine.QuarantinedFor(Duration{0}, loop_.now()).size());
+  line("limited_targets", view_.target_limits.limited());
+  line("limited_target_held_back_total", view_.target_limits.held_back());
   line("config_version", view_.config ? view_.config->version() : 0);
   line("config_age_ms",
        static_cast<std::uint64_t>((loop_.now() - view_.config_verified_at).count() / 1000));
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -12,6 +12,8 @@
 
 namespace {
 
+/// Capacity of a target in requests per second whose limit is lower, so that it stays positive.
+constexpr double kMinCapacity = 0.1;
 constexpr Duration kTableReadInterval{1'000'000};
 /// Changes to the table within this time, which grows with the number of other instances, are sent
 /// to them in one message.
@@ -55,6 +57,7 @@
   const PeerReport& report = peer.report;
   MarkLeaving(report.leaving_targets);
   view_.quarantine.OnReport(report.quarantine, loop_.now());
+  view_.target_limits.OnReport(report.target_limits, loop_.now());
   if (report.leading && coordinator_.leading() && report.generation > view_.keys.generation) {
     coordinator_.StepDown("another instance leads a newer generation");
     leaderless_since_ = loop_.now() + kStepDownPause;
@@ -204,7 +207,9 @@
 double Instance::CapacityOf(const Target& target) const {
   const Duration typical = forwarder_.TypicalLatency(target.entry.service);
   const double latency = typical > Duration{0} ? Seconds(typical) : 0.1;
-  return target.entry.slots / latency;
+  const double capacity = target.entry.slots / latency;
+  const auto limit = view_.target_limits.RateOf({target.entry.id, target.entry.incarnation});
+  return limit ? std::max(kMinCapacity, std::min(*limit, capacity)) : capacity;
 }
 
 void Instance::CheckCoordinator() {
--- a/packages/fleet/src/limits/account_lending.cc
+++ b/packages/fleet/src/limits/account_lending.cc
@@ -37,17 +37,24 @@
 
 }  // namespace
 
-double AccrualRate(double rate, double burst, const AccountTolerance& tolerance) noexcept {
+double AccrualRate(double rate, double burst, const RateTolerance& tolerance) noexcept {
   return rate + kRateShare * tolerance.AllowedExcess(rate, burst) / Seconds(tolerance.window);
 }
 
-double TokenCap(double rate, double burst, const AccountTolerance& tolerance,
-                int takeovers) noexcept {
+double TokenCap(double rate, double burst, const RateTolerance& tolerance, int takeovers) noexcept {
   const double excess = tolerance.AllowedExcess(rate, burst);
   if (takeovers == 0) return burst + kBaseCapShare * excess;
   return kSuccessorCapShare * excess * std::pow(kNextSuccessorFactor, takeovers - 1);
 }
 
+double AccountTokens::AccrualRateOf(const Entry& entry) const noexcept {
+  return AccrualRate(entry.rate, entry.burst, ToleranceOf(entry));
+}
+
+double AccountTokens::TokenCapOf(const Entry& entry, int takeovers) const noexcept {
+  return TokenCap(entry.rate, entry.burst, ToleranceOf(entry), takeovers);
+}
+
 void AccountTokens::BecomeCoordinator(const LendingStart& start) {
   CloseBook();
   start_ = start;
@@ -58,7 +65,7 @@
                                 : start.took_over_at + WithDrift(settings_.role_validity);
   backing_key_ = SessionKey();
   for (auto& [account, entry] : entries_) {
-    entry.available = start.first ? TokenCap(entry.rate, entry.burst, tolerance_, 0) : 0;
+    entry.available = start.first ? TokenCapOf(entry, 0) : 0;
     entry.accrued_at = lends_from_;
     entry.exhausted_until = TimePoint{};
   }
@@ -86,10 +93,10 @@
     entry.available = 0;
     entry.accrued_at = std::max(lends_from_, now);
   }
-  const double cap = TokenCap(entry.rate, entry.burst, tolerance_, Takeovers(now));
+  const double cap = TokenCapOf(entry, Takeovers(now));
   const double room = std::max(0.0, cap - book_.Outstanding(account));
   const Duration since = std::max(Duration{0}, now - entry.accrued_at);
-  const double rate = AccrualRate(entry.rate, entry.burst, tolerance_);
+  const double rate = AccrualRateOf(entry);
   entry.available = std::min(room, entry.available + rate * Seconds(since));
   entry.accrued_at = std::max(entry.accrued_at, now);
 }
@@ -125,7 +132,7 @@
 Duration AccountTokens::BacklogTime(AccountHash account, const Entry& entry,
                                     std::uint32_t more) const {
   const double n = UnmetRequests(account) + entry.waiting + more;
-  return FromSeconds(n / std::max(0.01, AccrualRate(entry.rate, entry.burst, tolerance_)));
+  return FromSeconds(n / std::max(0.01, AccrualRateOf(entry)));
 }
 
 void AccountTokens::Settle(const std::vector<Settlement>& settled) {
@@ -151,7 +158,7 @@
   Accrue(account, *entry, now);
   const double available = std::max(0.0, std::floor(entry->available) - entry->waiting);
   if (available < 1) return 0;
-  const double cap = TokenCap(entry->rate, entry->burst, tolerance_, Takeovers(now));
+  const double cap = TokenCapOf(*entry, Takeovers(now));
   const double total = std::max<double>(book_.Demand(account) + entry->demand.PerSecond(now), 0.01);
   const double share = std::clamp(line.demand / total, kMinDemandShare, 1.0);
   const double need = line.unmet_need();
--- a/packages/fleet/src/limits/account_tokens.cc
+++ b/packages/fleet/src/limits/account_tokens.cc
@@ -43,12 +43,42 @@
 
 void AccountTokens::RetainAccounts(const std::vector<std::string>& names) {
   for (auto it = entries_.begin(); it != entries_.end();) {
-    const bool configured = std::find(names.begin(), names.end(), it->second.name) != names.end();
+    const bool configured = it->second.own_tolerance ||
+                            std::find(names.begin(), names.end(), it->second.name) != names.end();
     if (!configured) waiting_ -= it->second.waiting;
     it = configured ? std::next(it) : entries_.erase(it);
   }
 }
 
+void AccountTokens::ConfigureBudget(const std::string& name, double rate,
+                                    const RateTolerance& tolerance) {
+  Configure(name, rate, 0);
+  entries_.at(HashOf(name)).own_tolerance = tolerance;
+}
+
+void AccountTokens::RemoveBudget(const std::string& name) {
+  SetWaiting(name, 0);
+  entries_.erase(HashOf(name));
+}
+
+bool AccountTokens::TryTake(const std::string& name, TimePoint now) {
+  const AccountHash hash = HashOf(name);
+  Entry* const entry = Find(hash);
+  if (entry == nullptr || !TakeToken(hash, *entry, now)) return false;
+  entry->demand.Add(now);
+  return true;
+}
+
+void AccountTokens::AddDemand(const std::string& name, TimePoint now) {
+  if (Entry* const entry = Find(HashOf(name))) entry->demand.Add(now);
+}
+
+Duration AccountTokens::ReportedWait(const std::string& name, TimePoint now) const {
+  const auto it = entries_.find(HashOf(name));
+  const bool is_exhausted = it != entries_.end() && now < it->second.exhausted_until;
+  return is_exhausted ? it->second.exhausted_retry_after : Duration{0};
+}
+
 AccountTokens::Entry* AccountTokens::Find(AccountHash account) {
   const auto it = entries_.find(account);
   return it == entries_.end() ? nullptr : &it->second;
@@ -154,6 +184,7 @@
 void AccountTokens::SetWaiting(const std::string& account, std::size_t n) {
   Entry* const entry = Find(HashOf(account));
   if (entry == nullptr) return;
+  if (n > entry->waiting) request_now_ = true;
   waiting_ -= entry->waiting;
   entry->waiting = static_cast<std::uint32_t>(n);
   waiting_ += entry->waiting;
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -14,7 +14,7 @@
 constexpr std::array<const char*, kRefusalCount> kRefusalNames = {
     "no_configuration", "unknown_route", "not_authorized", "stale_secrets", "malformed",
     "over_limit",       "no_target",     "overloaded",     "timed_out",     "target_failed",
-    "shutting_down",    "quarantined",   "rate_unknown"};
+    "shutting_down",    "quarantined",   "rate_unknown",   "target_limited"};
 
 /// Weight of a new sample in the moving average of the latency of a service.
 constexpr double kLatencyWeight = 0.05;
@@ -141,6 +141,18 @@
 void Forwarder::Enqueue(Request& request, Placement placement) {
   if (request.ended) return;
   ServiceState& state = services_[request.service->name];
+  if (placement == Placement::kLimited) {
+    const std::size_t ahead = state.queue.CountIf([&request](const Waiter& it) {
+      return static_cast<const Request&>(it).limited_by == request.limited_by &&
+             it.priority <= request.priority;
+    });
+    if (RefuseLimited(request, ahead)) return;
+    state.queue.Push(request);
+    ArmTimer(request, request.dispatch_deadline);
+    RequestTargetTokens();
+    if (on_token_needed) on_token_needed();
+    return;
+  }
   const QueueState queue{state.queue.CountAhead(request.priority),
                          state.completions.PerSecond(now())};
   const Duration useful_wait = request.dispatch_deadline - now();
@@ -154,6 +166,31 @@
   ArmTimer(request, request.dispatch_deadline);
 }
 
+bool Forwarder::RefuseLimited(Request& request, std::size_t ahead) {
+  const Duration wait = view_.target_limits.ExpectedWait(*request.limited_by, ahead, now());
+  if (now() + wait <= request.dispatch_deadline) return false;
+  RejectLimited(request, ahead);
+  return true;
+}
+
+void Forwarder::RejectLimited(Request& request, std::size_t ahead) {
+  RejectRequest(
+      request, Refusal::kTargetLimited,
+      view_.target_limits.ReserveReturn(*request.limited_by, ahead, request.deadline, now()));
+}
+
+void Forwarder::RequestTargetTokens() {
+  if (!view_.target_limits.any()) return;
+  std::map<TargetIncarnation, std::uint32_t> queued;
+  for (const auto& [name, state] : services_) {
+    state.queue.ForEach([&queued](const Waiter& it) {
+      const auto& limited_by = static_cast<const Request&>(it).limited_by;
+      if (limited_by) ++queued[*limited_by];
+    });
+  }
+  view_.target_limits.SetQueued(queued, now());
+}
+
 void Forwarder::ArmTimer(Request& request, TimePoint at) {
   loop_.Cancel(request.timer);
   request.timer = loop_.RunAt(at, [self = RequestPtr(&request)] {
@@ -172,7 +209,6 @@
   request.sent_at = now();
   view_.health[target.entry.id].OnSend();
   if (view_.IsCold(target, now())) view_.cold_limiter.Take(target.entry.id, now());
-  view_.target_limits.OnSend({target.entry.id, target.entry.incarnation});
   const net::HttpRequest& original = request.exchange->request();
   net::HttpRequest forwarded_head;
   forwarded_head.method = original.method;
@@ -330,6 +366,10 @@
     Refuse(request, status::kUnavailable, Refusal::kRateUnknown, kDefaultRetryAfter);
     return;
   }
+  if (request.connection == nullptr && request.limited_by) {
+    RejectLimited(request, 0);
+    return;
+  }
   if (request.connection == nullptr) {
     const ServiceState& state = services_[request.service->name];
     RejectRequest(request, Refusal::kOverloaded,
@@ -341,7 +381,7 @@
   const bool final = now() >= request.deadline;
   const Target* replacement = nullptr;
   const bool replaced = !final && !stopping_ && Place(request, replacement) == Placement::kFound &&
-                        MayRetry(request, sent);
+                        MayRetry(request, sent) && TakeTargetToken(*replacement);
   if (!final && !replaced) {
     // The attempt is slow, but it cannot be replaced.
     ArmTimer(request, request.deadline);
@@ -442,10 +482,18 @@
   dispatching_ = true;
   const auto it = services_.find(service);
   if (it != services_.end() && !it->second.queue.empty()) {
+    std::map<TargetIncarnation, std::size_t> limited_ahead;
     it->second.queue.DispatchInOrder(
-        [this](Waiter& waiter) {
+        [this, &limited_ahead](Waiter& waiter) {
           Request& request = static_cast<Request&>(waiter);
-          return RefuseQuarantined(request) || TrySend(request) == Placement::kFound;
+          if (RefuseQuarantined(request)) return true;
+          const Placement placement = TrySend(request);
+          if (placement != Placement::kLimited) return placement == Placement::kFound;
+          if (!RefuseLimited(request, limited_ahead[*request.limited_by])) {
+            ++limited_ahead[*request.limited_by];
+          }
+          // Not a miss: the requests behind it have other owners.
+          return true;
         },
         settings_.max_dispatch_failures);
   }
--- a/packages/fleet/src/requests/forwarder_admission.cc
+++ b/packages/fleet/src/requests/forwarder_admission.cc
@@ -129,6 +129,7 @@
         1);
     view_.accounts.SetWaiting(account, queue.size());
   }
+  if (view_.target_limits.any()) DispatchWaiting();
 }
 
 std::string Forwarder::ChooseService(const Route& route) {
--- a/packages/fleet/src/requests/forwarder_placement.cc
+++ b/packages/fleet/src/requests/forwarder_placement.cc
@@ -8,11 +8,22 @@
 
 Forwarder::Placement Forwarder::TrySend(Request& request) {
   const Target* target = nullptr;
-  const Placement placement = Place(request, target);
+  Placement placement = Place(request, target);
+  if (placement == Placement::kFound && !TakeTargetToken(*target)) placement = Placement::kLimited;
+  request.limited_by.reset();
   if (placement == Placement::kFound) Send(request, *target);
+  if (placement == Placement::kLimited) {
+    request.limited_by = {target->entry.id, target->entry.incarnation};
+  }
   return placement;
 }
 
+bool Forwarder::TakeTargetToken(const Target& target) {
+  if (!view_.target_limits.any()) return true;
+  // The clock is read again: after a suspension the decision must not rely on an outdated time.
+  return view_.target_limits.Take({target.entry.id, target.entry.incarnation}, loop_.Refresh());
+}
+
 Forwarder::Placement Forwarder::Place(const Request& request, const Target*& target) {
   return request.service->keyed ? PlaceAtOwner(request, target) : PlaceAtAny(request, target);
 }
@@ -34,7 +45,10 @@
     return Placement::kNoCapacity;
   }
   target = owner;
-  return Placement::kFound;
+  const bool has_room =
+      !view_.target_limits.any() ||
+      view_.target_limits.MaySend({owner->entry.id, owner->entry.incarnation}, now());
+  return has_room ? Placement::kFound : Placement::kLimited;
 }
 
 void Forwarder::PartitionTargets(const std::string& service, ServiceState& state) const {
@@ -82,6 +96,10 @@
     any_usable = true;
     if (view_.IsCold(*it, now()) && !view_.cold_limiter.Available(it->entry.id, now())) continue;
     if (!HasConnectionCapacity(*it, *request.service)) continue;
+    if (view_.target_limits.any() &&
+        !view_.target_limits.MaySend({it->entry.id, it->entry.incarnation}, now())) {
+      continue;
+    }
     candidates.push_back(MakeCandidate(*it));
     usable.push_back(it);
   }
--- a/packages/fleet/src/requests/forwarder_request.h
+++ b/packages/fleet/src/requests/forwarder_request.h
@@ -75,6 +75,8 @@
   TimePoint hold_back_until{};
   /// Revision of the key owners at the time of this refusal.
   std::uint64_t denied_revision = 0;
+  /// Set while the request waits for a token of this target.
+  std::optional<TargetIncarnation> limited_by;
   std::string target_id;
   std::uint64_t target_incarnation = 0;
   net::ClientConnectionPtr connection;
--- a/tests/fleet/account_fleet.h
+++ b/tests/fleet/account_fleet.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// @file
-/// Simulates one client account on the instances of a fleet, in virtual time. Instances, messages,
+/// Simulates the tokens of one client account, or of one target with a limit, on the instances of a
+/// fleet, in virtual time. Instances, messages,
 /// the coordinator and its connection to the store can fail.
 
 #include <algorithm>
@@ -17,13 +18,14 @@
 #include <vector>
 
 #include "dogwoodport/fleet/limits/account_tokens.h"
+#include "dogwoodport/fleet/limits/target_limits.h"
 
 namespace dogwoodport::fleet {
 
 inline TimePoint At(double seconds) { return TimePoint(FromSeconds(1000 + seconds)); }
 
 /// Tolerance of the account limit under test.
-inline constexpr AccountTolerance kTolerance{Duration{5'000'000}, 0.1, 20};
+inline constexpr RateTolerance kTolerance{Duration{5'000'000}, 0.1, 20};
 
 /// Length of a simulation step.
 inline constexpr Duration kStep{10'000};
@@ -32,9 +34,6 @@
 inline constexpr std::size_t kTickSteps = 10;
 /// Number of steps between two measurements of what the fleet could admit.
 inline constexpr std::size_t kMeasuredSteps = 5;
-/// Number of steps in the window of the account limit.
-inline constexpr std::size_t kWindowSteps = 500;
-
 /// Faults of the network between instances.
 struct Network {
   /// Shares of the messages that are lost, delivered twice, and delivered up to 4 s late.
@@ -47,12 +46,16 @@
  public:
   /// A fleet of more than 17 instances has six data centres with two relays each.
   AccountFleet(std::size_t n, double rate, double burst, std::uint64_t seed)
-      : rate_(rate), burst_(burst), random_(seed), nodes_(n) {
-    for (std::size_t i = 0; i < n; ++i) Start(i);
-    TakeOver(0);
-    for (Node& it : nodes_) it.followed_generation = record_->generation;
+      : AccountFleet(n, rate, burst, kTolerance, false, seed) {}
+
+  /// A fleet with a target that has named the limit `rate`.
+  static AccountFleet ForTarget(std::size_t n, double rate, std::uint64_t seed) {
+    return {n, rate, 0, TargetLimits::kTolerance, true, seed};
   }
 
+  std::size_t size() const { return nodes_.size(); }
+  std::size_t coordinator() const { return record_->coordinator; }
+
   Network network;
   /// Number of instances that receive requests, counted from the first; 0 means all.
   std::size_t used_instances = 0;
@@ -65,9 +68,6 @@
     for (int i = 0; i < steps; ++i) Step(demand);
   }
 
-  std::size_t size() const { return nodes_.size(); }
-  std::size_t coordinator() const { return record_->coordinator; }
-
   /// Stops the process of an instance, or starts a new one without any state in its place.
   void Stop(std::size_t i) { nodes_[i].running = false; }
   void Start(std::size_t i) {
@@ -75,9 +75,13 @@
     node = Node{};
     node.running = true;
     node.incarnation = ++last_incarnation_;
-    node.tokens = std::make_unique<AccountTokens>(kTolerance);
+    node.tokens = std::make_unique<AccountTokens>(tolerance_);
     node.tokens->SetIdentity(std::to_string(i), node.incarnation);
-    node.tokens->Configure("a", rate_, burst_);
+    if (is_target_) {
+      node.tokens->ConfigureBudget("a", rate_, tolerance_);
+    } else {
+      node.tokens->Configure("a", rate_, burst_);
+    }
   }
   /// Freezes or resumes a process. Messages that arrive while it is frozen are processed on resume.
   void SetFrozen(std::size_t i, bool frozen) {
@@ -126,10 +130,23 @@
 
   /// Number of requests that rate, burst and tolerance allow in a window.
   double bound() const {
-    return rate_ * Seconds(kTolerance.window) + burst_ + kTolerance.AllowedExcess(rate_, burst_);
+    return rate_ * Seconds(tolerance_.window) + burst_ + tolerance_.AllowedExcess(rate_, burst_);
   }
 
  private:
+  AccountFleet(std::size_t n, double rate, double burst, const RateTolerance& tolerance,
+               bool is_target, std::uint64_t seed)
+      : rate_(rate),
+        burst_(burst),
+        tolerance_(tolerance),
+        is_target_(is_target),
+        random_(seed),
+        nodes_(n) {
+    for (std::size_t i = 0; i < n; ++i) Start(i);
+    TakeOver(0);
+    for (Node& it : nodes_) it.followed_generation = record_->generation;
+  }
+
   struct Datagram {
     std::size_t to = 0;
     LoanMessage message;
@@ -306,8 +323,9 @@
 
   void Measure() {
     window_admitted_ += step_admitted_;
-    if (admitted_.size() > kWindowSteps) {
-      window_admitted_ -= admitted_[admitted_.size() - 1 - kWindowSteps];
+    const auto window_steps = static_cast<std::size_t>(tolerance_.window / kStep);
+    if (admitted_.size() > window_steps) {
+      window_admitted_ -= admitted_[admitted_.size() - 1 - window_steps];
     }
     if (!measure_max_possible || admitted_.size() % kMeasuredSteps != 0) return;
     double possible = window_admitted_;
@@ -320,6 +338,8 @@
 
   double rate_;
   double burst_;
+  RateTolerance tolerance_;
+  bool is_target_;
   std::mt19937_64 random_;
   std::vector<Node> nodes_;
   std::optional<Record> record_;
