--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -110,8 +110,10 @@
   /// Closes connections that have exceeded their idle timeout.
   void Maintain();
 
-  /// Called before the process stops. Slow attempts are then no longer replaced by a new one.
-  void SetStopping() noexcept { stopping_ = true; }
+  /// Called before the process stops, at `end` at the latest. Slow attempts are then no longer
+  /// replaced by a new one, and requests that may not be repeated are refused if their deadline is
+  /// later.
+  void SetStopping(TimePoint end) noexcept { stops_at_ = end; }
 
   void SetMaxSecretAge(Duration age) noexcept { settings_.max_secret_age = age; }
 
@@ -228,7 +230,8 @@
   ForwarderCounters counters_;
   RequestMetrics metrics_;
   bool dispatching_ = false;
-  bool stopping_ = false;
+  /// Set while the process stops.
+  std::optional<TimePoint> stops_at_;
   bool refuses_new_requests_ = false;
 };
 
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -22,11 +22,13 @@
 /// coordinator. The age of the data stays within the limits required by operators.
 constexpr Duration kLargeFleetExtraPause{600'000};
 /// Time after the stop signal during which the load balancer may still route callers to this
-/// instance.
+/// instance, and the maximum share of the grace period.
 constexpr Duration kDrainDelay{2'300'000};
-/// Time after the stop signal during which requests are accepted. Later requests might not
-/// complete.
+constexpr double kMaxDrainDelayShare = 0.4;
+/// Time after the stop signal during which requests are accepted, and the maximum share of the
+/// grace period. Later requests might not complete.
 constexpr Duration kAdmissionCloseDelay{2'900'000};
+constexpr double kMaxAdmissionCloseShare = 0.5;
 /// Time for the last responses to reach their callers before the process ends.
 constexpr Duration kFinalResponseTime{300'000};
 /// Fractions of a cold target's headroom above its rate, and of the rate itself, that are used.
@@ -190,7 +192,8 @@
   stopping_ = true;
   stopping_at_ = loop_.now();
   log_.Write(LogLevel::kInfo, "stopping", {{"open_requests", callers_.open_requests()}});
-  forwarder_.SetStopping();
+  forwarder_.SetStopping(stopping_at_ + settings_.shutdown_grace - kExitMargin -
+                         kFinalResponseTime);
   coordinator_.StepDown("the instance stops");
   peers_.ReportNow();
 }
@@ -198,8 +201,13 @@
 void Instance::CheckShutdown() {
   if (!stopping_) return;
   const Duration since = loop_.now() - stopping_at_;
-  if (since >= kDrainDelay && !callers_.draining()) callers_.Drain();
-  if (since >= kAdmissionCloseDelay) forwarder_.RefuseNewRequests();
+  const auto at_most = [this](Duration delay, double share) {
+    return std::min(delay, FromSeconds(share * Seconds(settings_.shutdown_grace)));
+  };
+  if (since >= at_most(kDrainDelay, kMaxDrainDelayShare) && !callers_.draining()) callers_.Drain();
+  if (since >= at_most(kAdmissionCloseDelay, kMaxAdmissionCloseShare)) {
+    forwarder_.RefuseNewRequests();
+  }
   const bool open = callers_.open_requests() > 0 || callers_.open_connections() > 0;
   if (open || !callers_.draining()) last_open_at_ = loop_.now();
   const bool drained = loop_.now() - last_open_at_ >= kFinalResponseTime;
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -380,7 +380,7 @@
   const bool sent = connection->any_sent();
   const bool final = now() >= request.deadline;
   const Target* replacement = nullptr;
-  const bool replaced = !final && !stopping_ && Place(request, replacement) == Placement::kFound &&
+  const bool replaced = !final && !stops_at_ && Place(request, replacement) == Placement::kFound &&
                         MayRetry(request, sent) && TakeTargetToken(*replacement);
   if (!final && !replaced) {
     // The attempt is slow, but it cannot be replaced.
--- a/packages/fleet/src/requests/forwarder_admission.cc
+++ b/packages/fleet/src/requests/forwarder_admission.cc
@@ -49,6 +49,10 @@
   if (request.caller.caller_timeout) {
     request.deadline = std::min(request.deadline, arrived + *request.caller.caller_timeout);
   }
+  if (stops_at_ && !request.idempotent() && request.deadline > *stops_at_) {
+    Refuse(request, status::kUnavailable, Refusal::kShuttingDown, kShutdownRetryAfter);
+    return false;
+  }
   request.objective_at = arrived + request.route->latency_objective;
   request.service = request.config->FindService(ChooseService(*request.route));
   if (request.service == nullptr) {
--- a/tests/fleet/unit-forwarder.cpp
+++ b/tests/fleet/unit-forwarder.cpp
@@ -124,6 +124,82 @@
   CHECK(target.requests().size() == 2);
 }
 
+TEST_CASE("a duplicate refusal is not taken as the response to the next request on the connection",
+          "[forwarder][second_copy]") {
+  // The refusal of the first request arrives again while the second one runs.
+  struct Ending {
+    const char* description;
+    bool is_answered;
+    int status;
+  };
+  const auto it = GENERATE(values<Ending>({{"answered later", true, 200}, {"closed", false, 502}}));
+  const std::string path = GENERATE("/read/", "/write/", "/keyed/");
+  INFO(path << ", " << it.description);
+  ForwarderFixture fixture(milliseconds(400));
+  std::string refusal;
+  std::size_t runs = 0;
+  const auto script = [&](const std::string& request, std::size_t /*connection*/) {
+    if (refusal.empty()) {
+      refusal = Shed(request).bytes;
+      return Reaction{refusal};
+    }
+    if (IdOf(request) == "a") return Shed(request);
+    ++runs;
+    return it.is_answered ? Reaction{refusal + Serve(request).bytes}
+                          : Reaction{refusal, Reaction::End::kClose};
+  };
+  fixture.AddTarget("t1", script, path == "/keyed/" ? "keyed" : "plain");
+  CHECK(ForwarderFixture::StatusOf(fixture.Call(path + "x", "a")) == 503);
+  const std::string response = fixture.Call(path + "x", "b");
+  CHECK(ForwarderFixture::StatusOf(response) == it.status);
+  if (!it.is_answered) CHECK(FieldOf(response, "Run") == "unknown");
+  CHECK(runs == 1);
+}
+
+TEST_CASE("a response that breaks off at any byte is not passed on as complete",
+          "[forwarder][broken_off]") {
+  const std::string full = "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\nContent-Length: 4\r\n\r\nbody";
+  const auto end = GENERATE(values({Reaction::End::kClose, Reaction::End::kReset}));
+  const std::string path = GENERATE("/read/", "/write/", "/keyed/");
+  for (std::size_t n = 0; n < full.size(); ++n) {
+    INFO(path << ", " << n << " bytes");
+    ForwarderFixture fixture(milliseconds(400));
+    fixture.AddTarget(
+        "t1",
+        [&](const std::string& /*request*/, std::size_t /*connection*/) {
+          return Reaction{full.substr(0, n), end};
+        },
+        path == "/keyed/" ? "keyed" : "plain");
+    const std::string response = fixture.Call(path + "x", "r");
+    CHECK(ForwarderFixture::StatusOf(response) == 502);
+    CHECK(FieldOf(response, "Run") == "unknown");
+  }
+}
+
+TEST_CASE(
+    "a request that may not be repeated is refused if the process may end before its response",
+    "[forwarder][planned_stop]") {
+  struct Example {
+    const char* path;
+    int status;
+  };
+  const auto it =
+      GENERATE(values<Example>({{"/read/x", 200}, {"/write/x", 503}, {"/keyed/x", 503}}));
+  INFO(it.path);
+  ForwarderFixture fixture(seconds(2));
+  for (const char* service : {"plain", "keyed"}) {
+    fixture.AddTarget(
+        service, [](const std::string& request, std::size_t) { return Serve(request); }, service);
+  }
+  fixture.forwarder.SetStopping(fixture.loop.now() + seconds(1));
+  const std::string response = fixture.Call(it.path, "r");
+  CHECK(ForwarderFixture::StatusOf(response) == it.status);
+  if (it.status != 503) return;
+  CHECK(FieldOf(response, "Run") == "no");
+  CHECK(FieldOf(response, "Code") == "shutting_down");
+  CHECK_FALSE(FieldOf(response, "Retry-After").empty());
+}
+
 TEST_CASE("a request continues at a target whose heartbeats stop", "[forwarder][silent_target]") {
   const std::string path = GENERATE("/read/x", "/write/x", "/keyed/x");
   INFO(path);
--- a/tests/platform_standin/unit-shutdown.cpp
+++ b/tests/platform_standin/unit-shutdown.cpp
@@ -5,7 +5,10 @@
 
 TEST_CASE("an instance that receives SIGTERM finishes its requests and exits with status 0",
           "[shutdown]") {
-  TestEnvironment env;
+  LocalFleetSettings settings;
+  settings.shutdown_grace = GENERATE(values({Duration{6'000'000}, Duration{2'500'000}}));
+  INFO("grace period " << settings.shutdown_grace.count() << " us");
+  TestEnvironment env(settings);
   REQUIRE(env.RunUntilServed(100));
   env.fleet.TakeCounts();
   env.fleet.Retire(0);
