--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -35,7 +35,7 @@
   /// Maximum number of connections from callers.
   std::size_t max_caller_connections = 3'000;
   RetryBound retry_bound;
-  AccountTolerance account_tolerance;
+  RateTolerance account_tolerance;
   /// Limit on the requests per second to a cold target from all instances together: `cold_factor`
   /// times its cold rate, plus `cold_extra`.
   double cold_factor = 1.5;
@@ -94,7 +94,7 @@
   void OnFeedPush(const FeedPush& push);
   void ForgetTarget(const std::string& id);
   /// Marks targets as leaving that another instance has reported.
-  void MarkLeaving(const std::vector<LeavingTarget>& targets);
+  void MarkLeaving(const std::vector<TargetIncarnation>& targets);
 
   void Register();
   void ReadInstances();
@@ -137,6 +137,10 @@
   void LogStatus();
   /// Logs the token usage of the busiest accounts.
   void LogAccounts();
+  /// Logs changes of the limits that targets name.
+  void LogTargetLimitChanges();
+  /// Logs the requests sent to targets with a limit.
+  void LogTargetLimitUsage();
   void CheckShutdown();
   bool Ready() const;
   net::HttpResponse MakeReadinessResponse() const;
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "dogwoodport/fleet/event_log.h"
+#include "dogwoodport/fleet/limits/target_limits.h"
 #include "dogwoodport/fleet/limits/token_bucket.h"
 #include "dogwoodport/fleet/limits/token_loan.h"
 #include "dogwoodport/fleet/membership/target_directory.h"
@@ -56,12 +57,13 @@
   /// Busiest keys by service. Sent to the coordinator only.
   std::vector<std::pair<std::uint64_t, std::vector<BucketRate>>> key_load;
   /// Targets that are leaving although their heartbeats do not report it yet.
-  std::vector<LeavingTarget> leaving_targets;
+  std::vector<TargetIncarnation> leaving_targets;
   QuarantineReport quarantine;
+  std::vector<TargetLimitReport> target_limits;
 
   MSGPACK_DEFINE_ARRAY(address, incarnation, sequence_number, sent_at_us, data_centre,
                        processor_share, leading, leaving, store_age_ms, generation, revision,
-                       wants_table, urgent, key_load, leaving_targets, quarantine)
+                       wants_table, urgent, key_load, leaving_targets, quarantine, target_limits)
 };
 
 /// Number of requests that an instance has in flight, by hash of the target. Sent more often than
@@ -92,13 +94,15 @@
   /// Instances that are reachable from the coordinator and not leaving.
   std::vector<InstanceSummary> instances;
   /// Same content as in PeerReport.
-  std::vector<LeavingTarget> leaving_targets;
+  std::vector<TargetIncarnation> leaving_targets;
   /// Instances that forward the coordinator's messages within their data centres. The instances of
   /// a data centre also report to its relays, so that the relays can convert timestamps.
   std::vector<std::string> relays;
   QuarantineReport quarantine;
+  std::vector<TargetLimitReport> target_limits;
 
-  MSGPACK_DEFINE_ARRAY(address, sequence_number, instances, leaving_targets, relays, quarantine)
+  MSGPACK_DEFINE_ARRAY(address, sequence_number, instances, leaving_targets, relays, quarantine,
+                       target_limits)
 };
 
 /// Records that the coordinator has read from a feed of the store, addressed to one other instance.
--- a/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/fleet_view.h
@@ -11,6 +11,7 @@
 #include "dogwoodport/fleet/limits/account_tokens.h"
 #include "dogwoodport/fleet/limits/cold_limiter.h"
 #include "dogwoodport/fleet/limits/retry_budget.h"
+#include "dogwoodport/fleet/limits/target_limits.h"
 #include "dogwoodport/fleet/membership/target_directory.h"
 #include "dogwoodport/fleet/ownership/key_load.h"
 #include "dogwoodport/fleet/ownership/key_table.h"
@@ -24,7 +25,7 @@
 /// This instance's view of the fleet. Feed readers and peer exchange update it; the forwarder reads
 /// it and adds its own observations.
 struct FleetView {
-  FleetView(RetryBound retry_bound, AccountTolerance tolerance)
+  FleetView(RetryBound retry_bound, RateTolerance tolerance)
       : accounts(tolerance), retry_budget(retry_bound) {}
 
   std::string data_centre;
@@ -46,6 +47,7 @@
   KeyLoadMeter key_load;
 
   AccountTokens accounts;
+  TargetLimits target_limits{accounts};
   RetryBudget retry_budget;
   ColdLimiter cold_limiter;
   Quarantine quarantine;
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -22,11 +22,13 @@
 /// coordinator. The age of the data stays within the limits required by operators.
 constexpr Duration kLargeFleetExtraPause{600'000};
 /// Time after the stop signal during which the load balancer may still route callers to this
-/// instance.
+/// instance, and the maximum share of the grace period.
 constexpr Duration kDrainDelay{2'300'000};
-/// Time after the stop signal during which requests are accepted. Later requests might not
-/// complete.
+constexpr double kMaxDrainDelayShare = 0.4;
+/// Time after the stop signal during which requests are accepted, and the maximum share of the
+/// grace period. Later requests might not complete.
 constexpr Duration kAdmissionCloseDelay{2'900'000};
+constexpr double kMaxAdmissionCloseShare = 0.5;
 /// Time for the last responses to reach their callers before the process ends.
 constexpr Duration kFinalResponseTime{300'000};
 /// Fractions of a cold target's headroom above its rate, and of the rate itself, that are used.
@@ -190,7 +192,8 @@
   stopping_ = true;
   stopping_at_ = loop_.now();
   log_.Write(LogLevel::kInfo, "stopping", {{"open_requests", callers_.open_requests()}});
-  forwarder_.SetStopping();
+  forwarder_.SetStopping(stopping_at_ + settings_.shutdown_grace - kExitMargin -
+                         kFinalResponseTime);
   coordinator_.StepDown("the instance stops");
   peers_.ReportNow();
 }
@@ -198,8 +201,13 @@
 void Instance::CheckShutdown() {
   if (!stopping_) return;
   const Duration since = loop_.now() - stopping_at_;
-  if (since >= kDrainDelay && !callers_.draining()) callers_.Drain();
-  if (since >= kAdmissionCloseDelay) forwarder_.RefuseNewRequests();
+  const auto at_most = [this](Duration delay, double share) {
+    return std::min(delay, FromSeconds(share * Seconds(settings_.shutdown_grace)));
+  };
+  if (since >= at_most(kDrainDelay, kMaxDrainDelayShare) && !callers_.draining()) callers_.Drain();
+  if (since >= at_most(kAdmissionCloseDelay, kMaxAdmissionCloseShare)) {
+    forwarder_.RefuseNewRequests();
+  }
   const bool open = callers_.open_requests() > 0 || callers_.open_connections() > 0;
   if (open || !callers_.draining()) last_open_at_ = loop_.now();
   const bool drained = loop_.now() - last_open_at_ >= kFinalResponseTime;
@@ -218,6 +226,7 @@
   if (coordinator_.leading() && peers_.UsesDigests()) return;
   report.leaving_targets = view_.directory.LeavingTargets();
   report.quarantine = view_.quarantine.MakeReport(now);
+  report.target_limits = view_.target_limits.MakeReport(now);
   for (auto& [service, rates] : view_.key_load.Busiest(now, settings_.max_reported_buckets)) {
     report.key_load.emplace_back(HashOf(service), std::move(rates));
   }
@@ -226,11 +235,13 @@
 void Instance::PrepareDigest(PeerDigest& digest) {
   digest.leaving_targets = view_.directory.LeavingTargets();
   digest.quarantine = view_.quarantine.MakeDigest(loop_.now());
+  digest.target_limits = view_.target_limits.MakeReport(loop_.now());
 }
 
 void Instance::OnDigest(const PeerDigest& digest) {
   MarkLeaving(digest.leaving_targets);
   view_.quarantine.OnReport(digest.quarantine, loop_.now());
+  view_.target_limits.OnReport(digest.target_limits, loop_.now());
 }
 
 void Instance::SendUrgentUpdates() {
@@ -269,9 +280,11 @@
   CheckCoordinator();
   peers_.SetLeading(coordinator_.leading());
   UpdateLending();
+  forwarder_.RequestTargetTokens();
   forwarder_.OnTokensAvailable();
   ExchangeTokens();
   LogQuarantine();
+  LogTargetLimitChanges();
   SendUrgentUpdates();
   operators_.SetAlwaysReads(coordinator_.leading());
   targets_.SetAlwaysReads(coordinator_.leading());
@@ -293,6 +306,7 @@
   const std::size_t known_peers = peers_.peers().size();
   view_.instance_count = known_peers + 1;
   view_.retry_budget.SetInstances(known_peers + 1);
+  view_.target_limits.SetInstances(known_peers + 1);
   // Includes unreachable instances. Instances may disagree on which peers are reachable, for
   // example after a simultaneous restart, but must choose the same senders.
   const std::vector<std::string> others = peers_.KnownAddresses();
@@ -320,11 +334,13 @@
     it = unused ? view_.health.erase(it) : std::next(it);
   }
   view_.directory.ForgetLeavingMarks(loop_.now(), kLeavingRetention);
+  view_.target_limits.Retain(view_.directory, loop_.now());
   MaintainQuarantine();
   forwarder_.Maintain();
   caller_.Maintain();
   LogStatus();
   LogAccounts();
+  LogTargetLimitUsage();
   log_.Flush();
 }
 
@@ -345,6 +361,34 @@
   }
 }
 
+void Instance::LogTargetLimitChanges() {
+  const auto value = [](std::optional<double> rate) {
+    return rate ? nlohmann::json(*rate) : nlohmann::json();
+  };
+  for (const TargetLimitChange& it : view_.target_limits.TakeChanges()) {
+    log_.Write(LogLevel::kInfo, "target_limit_changed",
+               {{"target", it.target.id},
+                {"incarnation", it.target.incarnation},
+                {"rate_per_s", value(it.rate)},
+                {"previous_per_s", value(it.previous)},
+                {"first_hand", it.is_first_hand}});
+    urgent_update_pending_ = urgent_update_pending_ || it.is_first_hand;
+  }
+}
+
+void Instance::LogTargetLimitUsage() {
+  for (const TargetLimitUsage& it : view_.target_limits.TakeUsage(loop_.now())) {
+    log_.Write(LogLevel::kInfo, "target_limit",
+               {{"target", it.target.id},
+                {"rate_per_s", it.rate},
+                {"sent", it.sent},
+                {"held_back", it.held_back},
+                {"queued", it.queued},
+                {"free", it.free},
+                {"age_ms", it.age.count() / 1000}});
+  }
+}
+
 void Instance::LogStatus() {
   const ForwarderCounters& counters = forwarder_.counters();
   log_.Write(LogLevel::kInfo, "status",
@@ -394,6 +438,8 @@
   line("peers_reachable", peers_.reachable());
   line("log_lines_dropped_total", log_.dropped());
   line("quarantined_requests", view_.quarantine.QuarantinedFor(Duration{0}, loop_.now()).size());
+  line("limited_targets", view_.target_limits.limited());
+  line("limited_target_held_back_total", view_.target_limits.held_back());
   line("config_version", view_.config ? view_.config->version() : 0);
   line("config_age_ms",
        static_cast<std::uint64_t>((loop_.now() - view_.config_verified_at).count() / 1000));
