--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -202,8 +202,9 @@
   /// connections allows a new one.
   bool HasConnectionCapacity(const Target& target, const Service& service) const;
   void EndAttempt(Request& request, SendResult result);
-  /// Updates the load, back-off and leaving state of the target from a response.
-  void ApplyResponseFields(const Request& request, const ResponseFields& response_fields);
+  /// Updates the load, back-off, limit and leaving state of the target from a response.
+  void ApplyResponseFields(const Request& request, const ResponseFields& response_fields,
+                           int response_status);
   /// Ends a request without a response of a target. The status is 503 if the request has certainly
   /// not run. Otherwise it is 502 or, after a timeout, 504, which do not tell whether it has run.
   void RejectRequest(Request& request, Refusal refusal, Duration retry_after);
--- a/packages/fleet/src/limits/target_limits.cc
+++ b/packages/fleet/src/limits/target_limits.cc
@@ -213,7 +213,7 @@
   const TimePoint next_return = limit->last_return + FromSeconds(1 / own_rate);
   const TimePoint at = std::max(now + ExpectedWait(target, ahead, now), next_return);
   if (at <= latest) limit->last_return = at;
-  return std::clamp(Duration(at - now), kMinRetryAfter, kMaxRetryAfter);
+  return std::clamp<Duration>(at - now, kMinRetryAfter, kMaxRetryAfter);
 }
 
 std::vector<TargetLimitChange> TargetLimits::TakeChanges() { return std::exchange(changes_, {}); }
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -256,12 +256,14 @@
   loop_.Cancel(request.timer);
 }
 
-void Forwarder::ApplyResponseFields(const Request& request, const ResponseFields& response_fields) {
+void Forwarder::ApplyResponseFields(const Request& request, const ResponseFields& response_fields,
+                                    int response_status) {
   TargetHealth& health = view_.health[request.target_id];
   if (response_fields.load) health.OnLoadReport(*response_fields.load, now());
-  // Only a response to a request that ran can end a limit.
-  if (response_fields.request_limit ||
-      (response_fields.has_signature && !response_fields.request_limit_malformed)) {
+  // Only a served request can end a limit, because failures and refusals may lack the field.
+  const bool may_end_limit = IsSuccess(response_status) && response_fields.has_signature &&
+                             !response_fields.request_limit_malformed;
+  if (response_fields.request_limit || may_end_limit) {
     view_.target_limits.OnResponse({request.target_id, request.target_incarnation},
                                    response_fields.request_limit, request.sent_at, now());
   }
@@ -281,7 +283,7 @@
 
 void Forwarder::OnTargetResponse(Request& request, net::HttpResponse response) {
   const ResponseFields response_fields = protocol_.ReadResponse(response);
-  ApplyResponseFields(request, response_fields);
+  ApplyResponseFields(request, response_fields, response.status);
   if (response_fields.not_run || response.status == status::kMisdirected) {
     OnNotExecuted(request, response);
     return;
