Let a target of the fault soak name a limit, and check it

The soak's limits were accounts only. One target, chosen by the seed, names 0.5, 2 or 5.3 requests a second from the first fault on, also after each restart; the checker counts its arrivals in any 4 s. Arrivals while an instance restarts or is paused, or while the target's traffic is held, are not counted, as the users' rule excuses the instance in question.

--- a/tools/soak/faults.cc
+++ b/tools/soak/faults.cc
@@ -17,6 +17,8 @@
 constexpr Duration kCrashingRequestInterval{900'000};
 constexpr std::size_t kCrashingRequestServices = 2;
 constexpr std::size_t kCrashingRequestVariants = 2;
+/// Time after a pause or a cut until what was held up has arrived.
+constexpr Duration kLimitRecoveryTime{1'000'000};
 
 }  // namespace
 
@@ -54,13 +56,18 @@
       fleet_(fleet),
       random_engine_(seed),
       crashing_request_random_(seed),
-      history_(history) {}
+      history_(history) {
+  constexpr std::array<double, 3> kLimits = {0.5, 2, 5.3};
+  limited_target_ = static_cast<std::size_t>(seed) % fleet_.targets();
+  limit_ = kLimits[seed / fleet_.targets() % kLimits.size()];
+}
 
 void FaultInjector::InjectFaults(Duration duration) {
   const TimePoint end = loop_.Refresh() + duration;
   const TimePoint start = loop_.now();
   SendCrashingRequests();
   while (loop_.now() < end) {
+    NameLimit();
     const FaultKind& fault_kind = FaultKinds()[RandomIndex(FaultKinds().size())];
     history_ << (loop_.now() - start).count() / 1000 << " ms: " << fault_kind.name << "\n";
     (this->*fault_kind.start)();
@@ -71,6 +78,11 @@
   for (const auto& [repair_id, repair] : repairs) repair();
 }
 
+void FaultInjector::NameLimit() {
+  auto* const target = fleet_.Target(limited_target_);
+  if (target != nullptr && !target->request_limit()) target->SetRequestLimit(limit_);
+}
+
 void FaultInjector::SendCrashingRequests() {
   fleet_.SendCrashingRequest(
       crashing_request_random_() % fleet_.instances(),
@@ -105,7 +117,9 @@
 void FaultInjector::PauseInstance() {
   const std::size_t i = RandomIndex(fleet_.instances());
   fleet_.Signal(i, SIGSTOP);
-  RepairAfter(RandomDuration(50, 4'000), [this, i] { fleet_.Signal(i, SIGCONT); });
+  const Duration pause = RandomDuration(50, 4'000);
+  fleet_.checker().SuspendTargetLimits(loop_.now() + pause + kLimitRecoveryTime);
+  RepairAfter(pause, [this, i] { fleet_.Signal(i, SIGCONT); });
 }
 
 void FaultInjector::ReloadInstance() { fleet_.Signal(RandomIndex(fleet_.instances()), SIGHUP); }
@@ -171,7 +185,11 @@
   proxy_faults.hold_to_server = RandomIndex(2) == 0;
   proxy_faults.hold_from_server = !proxy_faults.hold_to_server || RandomIndex(2) == 0;
   fleet_.TargetProxy(i).SetFaults(proxy_faults);
-  RepairAfter(RandomDuration(100, 3'000), [this, i] {
+  const Duration duration = RandomDuration(100, 3'000);
+  if (i == limited_target_) {
+    fleet_.checker().SuspendTargetLimits(loop_.now() + duration + kLimitRecoveryTime);
+  }
+  RepairAfter(duration, [this, i] {
     fleet_.TargetProxy(i).SetFaults({});
     fleet_.TargetProxy(i).ResetConnections();
   });
--- a/tools/soak/faults.h
+++ b/tools/soak/faults.h
@@ -51,6 +51,8 @@
   void ChangeConfig();
   void RotateSecret();
   void WithdrawDataCentre();
+  /// Makes the limited target name its limit, also after it was restarted.
+  void NameLimit();
   /// Sends one of a few requests that crash their targets to a random instance, and schedules the
   /// next one.
   void SendCrashingRequests();
@@ -76,6 +78,9 @@
   std::ostream& history_;
   std::map<int, std::function<void()>> pending_repairs_;
   int next_repair_id_ = 0;
+  /// Target that names a limit from the first fault on, and the limit in requests per second.
+  std::size_t limited_target_ = 0;
+  double limit_ = 0;
 };
 
 }  // namespace dogwoodport::soak
