--- a/packages/fleet/include/dogwoodport/fleet/limits/target_limits.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/target_limits.h
@@ -96,7 +96,7 @@
   /// Requests tokens for the queued requests and for those recently sent elsewhere.
   void Tick(TimePoint now);
 
-  /// Returns the time until a request can expect a token behind `ahead` others of this instance.
+  /// Returns the minimum time until a request gets a token behind `ahead` others of this instance.
   Duration ExpectedWait(const TargetIncarnation& target, std::size_t ahead, TimePoint now) const;
   /// Returns the time after which a refused caller should retry: the next return that this
   /// instance's part of the limit has room for. It is reserved for the caller unless it is after
--- a/packages/fleet/src/limits/target_limits.cc
+++ b/packages/fleet/src/limits/target_limits.cc
@@ -198,9 +198,10 @@
                                     TimePoint now) const {
   const Limit* const limit = FindLimited(target);
   if (limit == nullptr) return Duration{0};
-  // The whole limit, as if the other instances had no requests for the target.
+  // The whole limit, as if the other instances had no requests for the target. The lender may have
+  // a token for the first request.
   const double rate = std::max(kMinRate, *limit->rate);
-  const Duration own_backlog = FromSeconds(static_cast<double>(ahead + 1) / rate);
+  const Duration own_backlog = FromSeconds(static_cast<double>(ahead) / rate);
   return std::max(own_backlog, tokens_.ReportedWait(limit->budget, now));
 }
 
@@ -211,7 +212,7 @@
   const double own_rate = std::max(
       {kMinRate, limit->sends.PerSecond(now), *limit->rate / static_cast<double>(instances_)});
   const TimePoint next_return = limit->last_return + FromSeconds(1 / own_rate);
-  const TimePoint at = std::max(now + ExpectedWait(target, ahead, now), next_return);
+  const TimePoint at = std::max(now + ExpectedWait(target, ahead + 1, now), next_return);
   if (at <= latest) limit->last_return = at;
   return std::clamp<Duration>(at - now, kMinRetryAfter, kMaxRetryAfter);
 }
