--- a/packages/fleet/include/dogwoodport/fleet/limits/target_limits.h
+++ b/packages/fleet/include/dogwoodport/fleet/limits/target_limits.h
@@ -47,7 +47,7 @@
   TargetIncarnation target;
   double rate = 0;
   std::uint32_t sent = 0;
-  /// Requests that were sent to another target, waited or were refused because of the limit.
+  /// Decisions in which the target was left out for lack of a token.
   std::uint32_t held_back = 0;
   /// Requests that wait for a token.
   std::uint32_t queued = 0;
@@ -111,7 +111,8 @@
   std::vector<TargetLimitChange> TakeChanges();
   /// Returns the usage of all targets with a limit, and resets the counters.
   std::vector<TargetLimitUsage> TakeUsage(TimePoint now);
-  /// Number of targets with a limit, and of requests held back since the start.
+  /// Number of targets with a limit, and of decisions since the start in which one was left out for
+  /// lack of a token.
   std::size_t limited() const noexcept { return limited_; }
   std::uint64_t held_back() const noexcept { return held_back_; }
 
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -12,7 +12,8 @@
 
 namespace {
 
-/// Capacity of a target in requests per second whose limit is lower, so that it stays positive.
+/// Minimum capacity of a target with a limit, in requests per second. The planner needs a positive
+/// one.
 constexpr double kMinCapacity = 0.1;
 constexpr Duration kTableReadInterval{1'000'000};
 /// Changes to the table within this time, which grows with the number of other instances, are sent
--- a/tests/fleet/unit-forwarder_target_limit.cpp
+++ b/tests/fleet/unit-forwarder_target_limit.cpp
@@ -15,6 +15,11 @@
                                  "Signed: 1\r\nLimit: " + std::to_string(kLimit) + "\r\n")};
 }
 
+/// A target that names a limit of 0.
+Reaction NameZeroLimit(const std::string& request, std::size_t /*connection*/) {
+  return Reaction{TargetResponse(FieldOf(request, "Id"), 200, "ran", "Signed: 1\r\nLimit: 0\r\n")};
+}
+
 TEST_CASE("a target is sent no more requests than the limit that it names", "[target_limit]") {
   const auto [route, service] = GENERATE(table<std::string, std::string>(
       {{"/read/", "plain"}, {"/write/", "plain"}, {"/keyed/", "keyed"}}));
@@ -96,13 +101,7 @@
 
 TEST_CASE("a request waits for the token that the lender of a small limit has", "[target_limit]") {
   ForwarderFixture fixture(std::chrono::seconds(1));
-  net::ScriptedTarget& target = fixture.AddTarget(
-      "t",
-      [](const std::string& request, std::size_t /*connection*/) {
-        return Reaction{
-            TargetResponse(FieldOf(request, "Id"), 200, "ran", "Signed: 1\r\nLimit: 0\r\n")};
-      },
-      "keyed");
+  net::ScriptedTarget& target = fixture.AddTarget("t", NameZeroLimit, "keyed");
   fixture.view.accounts.SetIdentity("self", 1);
   fixture.view.accounts.SetLenders({"lender"}, 1, LoanRole::kBorrower);
   REQUIRE(ForwarderFixture::StatusOf(fixture.Call("/keyed/x", "a")) == 200);
@@ -130,13 +129,7 @@
 TEST_CASE("a request that a limit has no room for in time is refused at once", "[target_limit]") {
   const std::chrono::seconds objective(20);
   ForwarderFixture fixture(objective);
-  net::ScriptedTarget& target = fixture.AddTarget(
-      "t",
-      [](const std::string& request, std::size_t /*connection*/) {
-        return Reaction{
-            TargetResponse(FieldOf(request, "Id"), 200, "ran", "Signed: 1\r\nLimit: 0\r\n")};
-      },
-      "keyed");
+  net::ScriptedTarget& target = fixture.AddTarget("t", NameZeroLimit, "keyed");
   REQUIRE(ForwarderFixture::StatusOf(fixture.Call("/keyed/x", "a")) == 200);
   // The lender may have a token for the first request that waits, but not for the next one in time.
   fixture.Send("/keyed/x", "b");
