--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -82,14 +82,17 @@
   volatile std::sig_atomic_t* stop_flag() noexcept { return &stop_requested_; }
 
  private:
-  void OnOperatorRecords(const std::vector<StoreRecord>& records, bool complete);
+  void OnOperatorRecords(const FeedUpdate& update);
   void ApplyConfig(const RoutingConfigPtr& config);
   void SetWithdrawn(std::set<std::string> withdrawn);
-  void OnTargetRecords(const std::vector<StoreRecord>& records, bool complete,
-                       bool was_unavailable);
+  void OnTargetRecords(const FeedUpdate& update);
   /// Returns whether the record caused a change.
-  bool ApplyTarget(const StoreRecord& record, bool was_unavailable);
-  void OnTargetChange(const std::string& id, TargetChange change);
+  bool ApplyTarget(const StoreRecord& record, const FeedUpdate& update);
+  /// Whether an entry that was removed may belong to a live target, because the store has become
+  /// available only recently.
+  bool IsRemovalDoubtful(const FeedUpdate& update) const;
+  /// Logs a change, with `details` about its origin, and updates the state that depends on it.
+  void OnTargetChange(const std::string& id, TargetChange change, const nlohmann::json& details);
   void PushFeed(Feed feed, std::uint64_t from, std::uint64_t end, bool complete);
   void OnFeedPush(const FeedPush& push);
   void ForgetTarget(const std::string& id);
--- a/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
+++ b/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
@@ -25,15 +25,31 @@
   Duration push_timeout{0};
 };
 
+/// How records of a feed reached this instance.
+enum class FeedSource {
+  kRead,  ///< Read from the store by this instance.
+  kPush,  ///< Read by the coordinator and pushed.
+};
+
+/// Returns the name of a source for logs.
+const char* NameOf(FeedSource source) noexcept;
+
+/// Records delivered by a reader.
+struct FeedUpdate {
+  FeedSource source = FeedSource::kRead;
+  /// If set, `records` contains the newest record of each key, otherwise the records that follow
+  /// those delivered before.
+  bool complete = false;
+  /// This read ended an outage of the store that lasted longer than `kMinOutage`, or the
+  /// coordinator reported with pushed records that the store had become available only recently.
+  bool was_unavailable = false;
+  const std::vector<StoreRecord>& records;
+};
+
 /// Delivers all records of a feed in order, starting with the newest record of each key.
 class FeedReader {
  public:
-  /// If `complete` is set, `records` contains the newest record of each key, otherwise the records
-  /// that follow those delivered before. `was_unavailable` is set if this read ended an
-  /// outage of the store that lasted longer than `kMinOutage`, or if the coordinator reported with
-  /// pushed records that the store had become available only recently.
-  using Handler = std::function<void(const std::vector<StoreRecord>& records, bool complete,
-                                     bool was_unavailable)>;
+  using Handler = std::function<void(const FeedUpdate&)>;
   /// Called after each read from the store with the range of offsets that it covered. `complete`
   /// has the same meaning as for the handler.
   using ReadObserver = std::function<void(std::uint64_t from, std::uint64_t end, bool complete)>;
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -109,9 +109,7 @@
           loop, store, log,
           {Feed::kOperators, "operators", settings_.operators_long_poll_wait, Duration{0},
            settings_.operators_push_timeout},
-          [this](const std::vector<StoreRecord>& records, bool complete, bool /*was_unavailable*/) {
-            OnOperatorRecords(records, complete);
-          },
+          [this](const FeedUpdate& update) { OnOperatorRecords(update); },
           [this](std::uint64_t from, std::uint64_t end, bool complete) {
             PushFeed(Feed::kOperators, from, end, complete);
           }),
@@ -119,9 +117,7 @@
           loop, store, log,
           {Feed::kTargets, "targets", Duration{0}, settings_.targets_read_pause,
            settings_.targets_push_timeout},
-          [this](const std::vector<StoreRecord>& records, bool complete, bool was_unavailable) {
-            OnTargetRecords(records, complete, was_unavailable);
-          },
+          [this](const FeedUpdate& update) { OnTargetRecords(update); },
           [this](std::uint64_t from, std::uint64_t end, bool complete) {
             PushFeed(Feed::kTargets, from, end, complete);
           }),
@@ -134,7 +130,7 @@
   callers_.limits().message.bodies =
       new net::BodyBudget(settings_.memory_bytes / kBodyMemoryDivisor);
   forwarder_.on_target_leaving = [this](const std::string& id) {
-    OnTargetChange(id, TargetChange::kLeaving);
+    OnTargetChange(id, TargetChange::kLeaving, {{"source", "response"}});
     urgent_update_pending_ = true;
   };
   forwarder_.on_token_needed = [this] { ExchangeTokens(); };
@@ -327,7 +323,7 @@
 void Instance::RunMaintenance() {
   next_maintenance_ = loop_.now() + kMaintenanceInterval;
   for (const std::string& id : view_.directory.Expire(loop_.now())) {
-    OnTargetChange(id, TargetChange::kGone);
+    OnTargetChange(id, TargetChange::kGone, {{"source", "expiry"}});
   }
   for (auto it = view_.health.begin(); it != view_.health.end();) {
     const bool unused = view_.directory.Find(it->first) == nullptr && it->second.in_flight() == 0;
--- a/packages/fleet/src/instance_feeds.cc
+++ b/packages/fleet/src/instance_feeds.cc
@@ -16,12 +16,12 @@
 
 }  // namespace
 
-void Instance::OnOperatorRecords(const std::vector<StoreRecord>& records, bool complete) {
+void Instance::OnOperatorRecords(const FeedUpdate& update) {
   std::vector<StoreRecord>& recent = recent_changes_[Feed::kOperators];
-  recent.insert(recent.end(), records.begin(), records.end());
+  recent.insert(recent.end(), update.records.begin(), update.records.end());
   std::set<std::string> withdrawn =
-      complete ? std::set<std::string>() : view_.withdrawn_data_centres;
-  for (const StoreRecord& it : records) {
+      update.complete ? std::set<std::string>() : view_.withdrawn_data_centres;
+  for (const StoreRecord& it : update.records) {
     if (const auto data_centre = protocol_.WithdrawalKey(it.key)) {
       if (it.value) {
         withdrawn.insert(*data_centre);
@@ -73,42 +73,50 @@
   view_.withdrawn_data_centres = std::move(withdrawn);
 }
 
-void Instance::OnTargetRecords(const std::vector<StoreRecord>& records, bool complete,
-                               bool was_unavailable) {
+void Instance::OnTargetRecords(const FeedUpdate& update) {
   std::set<std::string> listed_ids;
   std::vector<StoreRecord>& recent = recent_changes_[Feed::kTargets];
-  for (const StoreRecord& it : records) {
+  for (const StoreRecord& it : update.records) {
     listed_ids.insert(it.key);
-    if (ApplyTarget(it, was_unavailable)) recent.push_back(it);
+    if (ApplyTarget(it, update)) recent.push_back(it);
   }
-  if (complete) {
+  if (update.complete) {
     std::vector<std::string> removed_ids;
     for (const auto& [id, target] : view_.directory.targets()) {
       if (listed_ids.count(id) == 0) removed_ids.push_back(id);
     }
     for (const std::string& id : removed_ids) {
-      OnTargetChange(id, view_.directory.Remove(id, loop_.now(), was_unavailable,
-                                                settings_.entry_restore_time));
+      const TargetChange change = view_.directory.Remove(
+          id, loop_.now(), update.was_unavailable, settings_.entry_restore_time);
+      OnTargetChange(id, change, {{"source", "complete_read"}});
     }
   }
   forwarder_.DispatchWaiting();
 }
 
-bool Instance::ApplyTarget(const StoreRecord& record, bool was_unavailable) {
+bool Instance::IsRemovalDoubtful(const FeedUpdate& update) const {
+  return update.was_unavailable ||
+         loop_.now() - targets_.last_recovery_at() < settings_.entry_restore_time;
+}
+
+bool Instance::ApplyTarget(const StoreRecord& record, const FeedUpdate& update) {
   const TimePoint now = loop_.now();
+  nlohmann::json details = {{"source", NameOf(update.source)}, {"offset", record.offset}};
   if (!record.value) {
-    const bool recently_unavailable =
-        was_unavailable || now - targets_.last_recovery_at() < settings_.entry_restore_time;
-    const TargetChange change =
-        view_.directory.Remove(record.key, now, recently_unavailable, settings_.entry_restore_time);
-    OnTargetChange(record.key, change);
+    const TargetChange change = view_.directory.Remove(
+        record.key, now, IsRemovalDoubtful(update), settings_.entry_restore_time);
+    if (change == TargetChange::kDoubtful) {
+      details["reader_was_unavailable"] = update.was_unavailable;
+      details["own_recovery_age_ms"] = (now - targets_.last_recovery_at()).count() / 1000;
+    }
+    OnTargetChange(record.key, change, details);
     return change != TargetChange::kNone;
   }
   try {
     const TargetEntry entry = protocol_.ReadTarget(record.key, *record.value);
     target_names_[ShortHashOf(entry.id)] = entry.id;
     const TargetChange change = view_.directory.Apply(entry, now);
-    OnTargetChange(entry.id, change);
+    OnTargetChange(entry.id, change, details);
     return change != TargetChange::kNone;
   } catch (const std::exception& e) {
     log_.Write(LogLevel::kWarning, "target_entry_unusable",
@@ -117,12 +125,14 @@
   }
 }
 
-void Instance::OnTargetChange(const std::string& id, TargetChange change) {
+void Instance::OnTargetChange(const std::string& id, TargetChange change,
+                              const nlohmann::json& details) {
   if (change == TargetChange::kNone) return;
-  log_.Write(LogLevel::kInfo, "target_changed",
-             {{"target", id},
-              {"change", NameOf(change)},
-              {"directory_version", view_.directory.version()}});
+  nlohmann::json fields = {{"target", id},
+                           {"change", NameOf(change)},
+                           {"directory_version", view_.directory.version()}};
+  fields.update(details);
+  log_.Write(LogLevel::kInfo, "target_changed", fields);
   if (change == TargetChange::kRestarted) view_.health[id].OnRestart();
   if (change == TargetChange::kRestarted || change == TargetChange::kGone) {
     view_.quarantine.OnTargetLost(id, loop_.now());
@@ -139,7 +149,7 @@
 
 void Instance::MarkLeaving(const std::vector<TargetIncarnation>& targets) {
   for (const TargetIncarnation& it : targets) {
-    OnTargetChange(it.id, view_.directory.MarkLeaving(it, loop_.now()));
+    OnTargetChange(it.id, view_.directory.MarkLeaving(it, loop_.now()), {{"source", "peer"}});
   }
 }
 
--- a/packages/fleet/src/state/feed_reader.cc
+++ b/packages/fleet/src/state/feed_reader.cc
@@ -1,6 +1,7 @@
 #include "dogwoodport/fleet/state/feed_reader.h"
 
 #include <algorithm>
+#include <array>
 
 namespace dogwoodport::fleet {
 namespace {
@@ -14,8 +15,14 @@
 /// time.
 constexpr Duration kMinOutage{500'000};
 
+constexpr std::array<const char*, 2> kSourceNames = {"read", "push"};
+
 }  // namespace
 
+const char* NameOf(FeedSource source) noexcept {
+  return kSourceNames[static_cast<std::size_t>(source)];
+}
+
 FeedReader::FeedReader(net::EventLoop& loop, MetadataStore& store, EventLog& log,
                        FeedSettings settings, Handler handler, ReadObserver on_read)
     : loop_(loop),
@@ -55,7 +62,7 @@
     next_offset_ = end;
     verified_at_ = std::max(verified_at_, verified_at);
   }
-  if (!fresh.empty()) handler_(fresh, false, was_unavailable);
+  if (!fresh.empty()) handler_({FeedSource::kPush, false, was_unavailable, fresh});
 }
 
 void FeedReader::ReadNext() {
@@ -93,7 +100,9 @@
       next_offset_ = next;
       if (next >= records->end) verified_at_ = std::max(verified_at_, sent_at);
       loaded_ = true;
-      if (complete || !records->records.empty()) handler_(records->records, complete, outage_ended);
+      if (complete || !records->records.empty()) {
+        handler_({FeedSource::kRead, complete, outage_ended, records->records});
+      }
       on_read_(from, next, complete);
     }
   } else if (std::holds_alternative<StoreTrimmed>(outcome)) {
--- a/tests/fleet/unit-feed_reader.cpp
+++ b/tests/fleet/unit-feed_reader.cpp
@@ -12,10 +12,10 @@
   explicit FeedReaderFixture(FeedSettings settings)
       : reader(
             loop, store, log, settings,
-            [this](const std::vector<StoreRecord>& records, bool complete, bool was_unavailable) {
-              for (const StoreRecord& it : records) keys.push_back(it.key);
-              complete_reads += complete ? 1 : 0;
-              last_was_unavailable = was_unavailable;
+            [this](const FeedUpdate& update) {
+              for (const StoreRecord& it : update.records) keys.push_back(it.key);
+              complete_reads += update.complete ? 1 : 0;
+              last_was_unavailable = update.was_unavailable;
             },
             [](std::uint64_t, std::uint64_t, bool) {}) {}
 
