--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -49,6 +49,8 @@
   /// Time without pushes from the coordinator after which an instance reads the feeds itself.
   Duration operators_push_timeout{1'500'000};
   Duration targets_push_timeout{1'400'000};
+  /// Interval at which each target writes its heartbeat.
+  Duration heartbeat_interval{1'000'000};
   /// Time after an outage of the store in which live targets write their entries again.
   Duration entry_restore_time{2'200'000};
   /// Minimum time without reports from the coordinator after which another instance takes over.
@@ -88,9 +90,6 @@
   void OnTargetRecords(const FeedUpdate& update);
   /// Returns whether the record caused a change.
   bool ApplyTarget(const StoreRecord& record, const FeedUpdate& update);
-  /// Whether an entry that was removed may belong to a live target, because the store has become
-  /// available only recently.
-  bool IsRemovalDoubtful(const FeedUpdate& update) const;
   /// Logs a change, with `details` about its origin, and updates the state that depends on it.
   void OnTargetChange(const std::string& id, TargetChange change, const nlohmann::json& details);
   void PushFeed(Feed feed, std::uint64_t from, std::uint64_t end, bool complete);
--- a/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
+++ b/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "dogwoodport/fleet/event_log.h"
 #include "dogwoodport/fleet/state/metadata_store.h"
@@ -23,6 +24,11 @@
   Duration read_pause{0};
   /// Time without pushes from the coordinator after which the reader reads from the store itself.
   Duration push_timeout{0};
+  /// Interval at which each writer of the feed appends a record. If zero, the records do not show
+  /// whether the store was available to the writers.
+  Duration heartbeat_interval{0};
+  /// Time after an outage of the store in which the writers append their records again.
+  Duration restore_time{0};
 };
 
 /// How records of a feed reached this instance.
@@ -40,8 +46,8 @@
   /// If set, `records` contains the newest record of each key, otherwise the records that follow
   /// those delivered before.
   bool complete = false;
-  /// This read ended an outage of the store that lasted longer than `kMinOutage`, or the
-  /// coordinator reported with pushed records that the store had become available only recently.
+  /// The store became available again at most `FeedSettings::restore_time` ago, as observed by the
+  /// instance that has read the records.
   bool was_unavailable = false;
   const std::vector<StoreRecord>& records;
 };
@@ -64,8 +70,7 @@
 
   /// Accepts a part of the feed that the coordinator has read: all relevant records from offset
   /// `from` up to `end`. `verified_at` refers to the clock of this instance. `was_unavailable` is
-  /// the availability of the store as seen by the coordinator; it replaces what this reader
-  /// recorded itself.
+  /// passed on with the records; what this reader observed itself has no effect on them.
   void AcceptPush(std::uint64_t from, std::uint64_t end, TimePoint verified_at,
                   bool was_unavailable, const std::vector<StoreRecord>& records);
 
@@ -81,16 +86,20 @@
   /// Time up to which all records of the feed have been handled.
   TimePoint verified_at() const noexcept { return verified_at_; }
   bool loaded() const noexcept { return loaded_; }
-  /// Time at which the store last became available again, as observed by this reader.
-  TimePoint last_recovery_at() const noexcept { return last_recovery_at_; }
+  /// Whether the store became available again at most `FeedSettings::restore_time` ago. Failures
+  /// of this reader during which the writers reached the store do not count.
+  bool StoreWasUnavailable() const noexcept;
 
  private:
   void ReadNext();
   void ScheduleNext(Duration pause);
   bool ReceivesPushes() const;
   void OnReadDone(TimePoint sent_at, bool complete, const ReadOutcome& outcome);
-  void OnAvailable();
-  void OnUnavailable(const StoreUnavailable& outcome);
+  /// Returns the minimum duration of an outage that makes entries of live writers expire.
+  Duration MinExpiryTime() const noexcept;
+  /// `records` are those of the successful read, or nullptr if it shows only the newest ones.
+  void OnAvailable(const std::vector<StoreRecord>* records);
+  void OnUnavailable(TimePoint sent_at, const StoreUnavailable& outcome);
 
   net::EventLoop& loop_;
   MetadataStore& store_;
@@ -106,7 +115,7 @@
   bool reading_ = false;
   TimePoint last_push_at_{};
   TimePoint verified_at_{};
-  TimePoint last_recovery_at_{};
+  std::optional<TimePoint> last_recovery_at_;
   TimePoint unavailable_since_{};
   std::uint32_t failures_ = 0;
   net::TimerId timer_;
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -116,7 +116,8 @@
       targets_(
           loop, store, log,
           {Feed::kTargets, "targets", Duration{0}, settings_.targets_read_pause,
-           settings_.targets_push_timeout},
+           settings_.targets_push_timeout, settings_.heartbeat_interval,
+           settings_.entry_restore_time},
           [this](const FeedUpdate& update) { OnTargetRecords(update); },
           [this](std::uint64_t from, std::uint64_t end, bool complete) {
             PushFeed(Feed::kTargets, from, end, complete);
--- a/packages/fleet/src/instance_feeds.cc
+++ b/packages/fleet/src/instance_feeds.cc
@@ -86,29 +86,20 @@
       if (listed_ids.count(id) == 0) removed_ids.push_back(id);
     }
     for (const std::string& id : removed_ids) {
-      const TargetChange change = view_.directory.Remove(
-          id, loop_.now(), update.was_unavailable, settings_.entry_restore_time);
+      const TargetChange change = view_.directory.Remove(id, loop_.now(), update.was_unavailable,
+                                                         settings_.entry_restore_time);
       OnTargetChange(id, change, {{"source", "complete_read"}});
     }
   }
   forwarder_.DispatchWaiting();
 }
 
-bool Instance::IsRemovalDoubtful(const FeedUpdate& update) const {
-  return update.was_unavailable ||
-         loop_.now() - targets_.last_recovery_at() < settings_.entry_restore_time;
-}
-
 bool Instance::ApplyTarget(const StoreRecord& record, const FeedUpdate& update) {
   const TimePoint now = loop_.now();
-  nlohmann::json details = {{"source", NameOf(update.source)}, {"offset", record.offset}};
+  const nlohmann::json details = {{"source", NameOf(update.source)}, {"offset", record.offset}};
   if (!record.value) {
-    const TargetChange change = view_.directory.Remove(
-        record.key, now, IsRemovalDoubtful(update), settings_.entry_restore_time);
-    if (change == TargetChange::kDoubtful) {
-      details["reader_was_unavailable"] = update.was_unavailable;
-      details["own_recovery_age_ms"] = (now - targets_.last_recovery_at()).count() / 1000;
-    }
+    const TargetChange change = view_.directory.Remove(record.key, now, update.was_unavailable,
+                                                       settings_.entry_restore_time);
     OnTargetChange(record.key, change, details);
     return change != TargetChange::kNone;
   }
@@ -128,9 +119,8 @@
 void Instance::OnTargetChange(const std::string& id, TargetChange change,
                               const nlohmann::json& details) {
   if (change == TargetChange::kNone) return;
-  nlohmann::json fields = {{"target", id},
-                           {"change", NameOf(change)},
-                           {"directory_version", view_.directory.version()}};
+  nlohmann::json fields = {
+      {"target", id}, {"change", NameOf(change)}, {"directory_version", view_.directory.version()}};
   fields.update(details);
   log_.Write(LogLevel::kInfo, "target_changed", fields);
   if (change == TargetChange::kRestarted) view_.health[id].OnRestart();
@@ -175,8 +165,7 @@
   }
   recent = push.records;
   const FeedReader& reader = feed == Feed::kOperators ? operators_ : targets_;
-  push.store_was_unavailable =
-      loop_.now() - reader.last_recovery_at() < settings_.entry_restore_time;
+  push.store_was_unavailable = reader.StoreWasUnavailable();
   peers_.PushFeed(std::move(push), reader.verified_at());
 }
 
