--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -88,7 +88,7 @@
   void ApplyConfig(const RoutingConfigPtr& config);
   void SetWithdrawn(std::set<std::string> withdrawn);
   void OnTargetRecords(const FeedUpdate& update);
-  /// Returns whether the record caused a change.
+  /// Returns whether the record may be news to the other instances.
   bool ApplyTarget(const StoreRecord& record, const FeedUpdate& update);
   /// Logs a change, with `details` about its origin, and updates the state that depends on it.
   void OnTargetChange(const std::string& id, TargetChange change, const nlohmann::json& details);
--- a/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
@@ -33,7 +33,8 @@
   kRestarted,
   kLeaving,
   kChanged,
-  kTurnedCold,  ///< Became cold again within the same incarnation.
+  kTurnedCold,     ///< Became cold again, or for longer, within the same incarnation.
+  kPhaseReported,  ///< Its heartbeats report a phase that a response had announced.
   kDoubtful,
   kGone,
 };
@@ -44,7 +45,10 @@
 /// All targets by id.
 class TargetDirectory {
  public:
-  /// Applies a heartbeat. Ignores heartbeats older than the latest one.
+  /// Applies a heartbeat. Ignores heartbeats older than the latest one, also after the removal of
+  /// the entry. An incarnation that was not seen before is the current one, even if its start time
+  /// is earlier, because the target's clock may have been set back. Returns kNone only if the
+  /// heartbeat contains nothing new for an instance that has received the previous ones.
   TargetChange Apply(const TargetEntry& heartbeat, TimePoint now);
 
   /// Records that a target has announced that it is leaving. From then on it counts as draining,
@@ -54,8 +58,8 @@
   /// Returns the marked targets whose heartbeats do not report yet that they are leaving. They are
   /// reported to the other instances.
   std::vector<TargetIncarnation> LeavingTargets() const;
-  /// Removes marks older than `retention` if the target has no entry.
-  void ForgetLeavingMarks(TimePoint now, Duration retention);
+  /// Forgets incarnations that have had no entry and no new mark for `retention`.
+  void ForgetIncarnations(TimePoint now, Duration retention);
 
   /// Applies the removal of an entry. If `store_was_unavailable`, live targets may have lost their
   /// entries as well and will write them again, so the target is kept for `grace_period` unless it
@@ -74,14 +78,25 @@
   std::uint64_t version() const noexcept { return version_; }
 
  private:
-  /// Whether the current entry of a target belongs to the leaving incarnation.
+  /// What is known of an incarnation, also while it has no entry.
+  struct Incarnation {
+    /// Sequence number of its latest heartbeat.
+    std::optional<std::uint64_t> sequence;
+    /// Whether it has announced in a response that it is leaving.
+    bool marked_leaving = false;
+    /// Time of its latest mark or heartbeat, or of the removal of its entry.
+    TimePoint last_seen_at{};
+  };
+
+  /// Whether the current entry of a target belongs to the given incarnation.
   bool HasIncarnation(const TargetIncarnation& target) const;
-  void Erase(std::map<std::string, Target>::iterator it);
+  /// Whether a heartbeat is older than what is known of the target.
+  bool IsOutdated(const TargetEntry& heartbeat) const;
+  void Erase(std::map<std::string, Target>::iterator it, TimePoint now);
 
   std::map<std::string, Target> targets_;
   std::map<std::string, std::map<std::string, const Target*>> by_service_;
-  /// Time at which each target was marked as leaving.
-  std::map<TargetIncarnation, TimePoint> leaving_marks_;
+  std::map<TargetIncarnation, Incarnation> incarnations_;
   std::uint64_t version_ = 1;
 };
 
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -38,9 +38,9 @@
 constexpr double kColdRateShare = 0.9;
 /// Part of the grace period reserved for the exit of the process.
 constexpr Duration kExitMargin{400'000};
-/// Time for which the leaving mark of a target without an entry is kept. Such a target may continue
-/// to serve for many seconds.
-constexpr Duration kLeavingRetention{60'000'000};
+/// Time for which an incarnation of a target without an entry is remembered. One that is leaving
+/// may continue to serve for many seconds.
+constexpr Duration kIncarnationRetention{60'000'000};
 /// Age of the configuration above which the instance reports that it is not ready, so that callers
 /// use other instances.
 constexpr Duration kMaxConfigAge{4'000'000};
@@ -330,7 +330,7 @@
     const bool unused = view_.directory.Find(it->first) == nullptr && it->second.in_flight() == 0;
     it = unused ? view_.health.erase(it) : std::next(it);
   }
-  view_.directory.ForgetLeavingMarks(loop_.now(), kLeavingRetention);
+  view_.directory.ForgetIncarnations(loop_.now(), kIncarnationRetention);
   view_.target_limits.Retain(view_.directory, loop_.now());
   MaintainQuarantine();
   forwarder_.Maintain();
--- a/packages/fleet/src/instance_feeds.cc
+++ b/packages/fleet/src/instance_feeds.cc
@@ -101,7 +101,8 @@
     const TargetChange change = view_.directory.Remove(record.key, now, update.was_unavailable,
                                                        settings_.entry_restore_time);
     OnTargetChange(record.key, change, details);
-    return change != TargetChange::kNone;
+    // Others may have the entry although this instance does not.
+    return true;
   }
   try {
     const TargetEntry entry = protocol_.ReadTarget(record.key, *record.value);
--- a/packages/fleet/src/membership/target_directory.cc
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -2,12 +2,21 @@
 
 #include <array>
 #include <tuple>
+#include <utility>
 
 namespace dogwoodport::fleet {
 namespace {
 
-constexpr std::array<const char*, 8> kChangeNames = {
-    "none", "joined", "restarted", "leaving", "changed", "turned_cold", "doubtful", "gone"};
+constexpr std::array<const char*, 9> kChangeNames = {"none",           "joined",   "restarted",
+                                                     "leaving",        "changed",  "turned_cold",
+                                                     "phase_reported", "doubtful", "gone"};
+
+/// Minimum extension of a cold period that counts as a change. Heartbeats arrive with different
+/// delays.
+constexpr Duration kMinColdExtension{1'000'000};
+/// Heartbeats that a superseded incarnation with an earlier start must have sent since then to be
+/// taken for the current one. Fewer may be writes of an ended process that the store executed late.
+constexpr std::uint64_t kMinRevivalHeartbeats = 8;
 
 TargetChange Compare(const TargetEntry& before, const TargetEntry& after) {
   if (after.incarnation != before.incarnation) return TargetChange::kRestarted;
@@ -19,29 +28,46 @@
   return same ? TargetChange::kNone : TargetChange::kChanged;
 }
 
-bool IsOlder(const TargetEntry& entry, const TargetEntry& current) {
-  return std::tie(entry.incarnation, entry.sequence) <
-         std::tie(current.incarnation, current.sequence);
-}
-
 }  // namespace
 
 const char* NameOf(TargetChange change) noexcept {
   return kChangeNames[static_cast<std::size_t>(change)];
 }
 
+bool TargetDirectory::IsOutdated(const TargetEntry& heartbeat) const {
+  const auto it = incarnations_.find({heartbeat.id, heartbeat.incarnation});
+  if (it == incarnations_.end() || !it->second.sequence) return false;
+  const std::uint64_t latest = *it->second.sequence;
+  const Target* const current = Find(heartbeat.id);
+  // Without a start time, the next incarnation has the same number.
+  if (current == nullptr) return heartbeat.incarnation != 0 && heartbeat.sequence <= latest;
+  const std::uint64_t incarnation = current->entry.incarnation;
+  if (incarnation == heartbeat.incarnation) return heartbeat.sequence < latest;
+  if (incarnation < heartbeat.incarnation) return heartbeat.sequence <= latest;
+  return heartbeat.sequence < latest + kMinRevivalHeartbeats;
+}
+
 TargetChange TargetDirectory::Apply(const TargetEntry& heartbeat, TimePoint now) {
+  if (IsOutdated(heartbeat)) return TargetChange::kNone;
+  Incarnation& incarnation = incarnations_[{heartbeat.id, heartbeat.incarnation}];
+  incarnation.sequence = heartbeat.sequence;
+  incarnation.last_seen_at = now;
   TargetEntry entry = heartbeat;
   // The heartbeat may have been sent before the target announced that it is leaving.
-  if (leaving_marks_.count({entry.id, entry.incarnation}) > 0) entry.phase = TargetPhase::kDraining;
+  if (incarnation.marked_leaving) entry.phase = TargetPhase::kDraining;
   const auto [it, joined] = targets_.try_emplace(entry.id);
   Target& target = it->second;
-  if (!joined && IsOlder(entry, target.entry)) return TargetChange::kNone;
   TargetChange change = joined ? TargetChange::kJoined : Compare(target.entry, entry);
-  const bool turned_cold = entry.cold_remaining > Duration{0} && !target.cold(now);
+  if (change == TargetChange::kNone && heartbeat.phase != target.heartbeat_phase) {
+    change = TargetChange::kPhaseReported;
+  }
+  const TimePoint cold_until = now + entry.cold_remaining;
+  const bool turned_cold =
+      entry.cold_remaining > Duration{0} &&
+      (!target.cold(now) || cold_until >= target.cold_until + kMinColdExtension);
   if (change == TargetChange::kNone && turned_cold) change = TargetChange::kTurnedCold;
   if (joined || change == TargetChange::kRestarted || entry.cold_remaining > Duration{0}) {
-    target.cold_until = now + entry.cold_remaining;
+    target.cold_until = cold_until;
   }
   if (target.doubtful_until) {
     target.doubtful_until.reset();
@@ -63,7 +89,9 @@
 }
 
 TargetChange TargetDirectory::MarkLeaving(const TargetIncarnation& target, TimePoint now) {
-  if (!leaving_marks_.try_emplace(target, now).second) return TargetChange::kNone;
+  Incarnation& incarnation = incarnations_[target];
+  if (std::exchange(incarnation.marked_leaving, true)) return TargetChange::kNone;
+  incarnation.last_seen_at = now;
   if (!HasIncarnation(target)) return TargetChange::kNone;
   TargetPhase& phase = targets_.at(target.id).entry.phase;
   if (phase == TargetPhase::kDraining) return TargetChange::kNone;
@@ -74,19 +102,17 @@
 
 std::vector<TargetIncarnation> TargetDirectory::LeavingTargets() const {
   std::vector<TargetIncarnation> result;
-  for (const auto& [target, since] : leaving_marks_) {
-    const bool is_current = HasIncarnation(target);
-    if (is_current && targets_.at(target.id).heartbeat_phase == TargetPhase::kReady) {
-      result.push_back(target);
-    }
+  for (const auto& [target, incarnation] : incarnations_) {
+    if (!incarnation.marked_leaving || !HasIncarnation(target)) continue;
+    if (targets_.at(target.id).heartbeat_phase == TargetPhase::kReady) result.push_back(target);
   }
   return result;
 }
 
-void TargetDirectory::ForgetLeavingMarks(TimePoint now, Duration retention) {
-  for (auto it = leaving_marks_.begin(); it != leaving_marks_.end();) {
-    const bool needed = now - it->second <= retention || targets_.count(it->first.id) > 0;
-    it = needed ? std::next(it) : leaving_marks_.erase(it);
+void TargetDirectory::ForgetIncarnations(TimePoint now, Duration retention) {
+  for (auto it = incarnations_.begin(); it != incarnations_.end();) {
+    const bool needed = now - it->second.last_seen_at <= retention || HasIncarnation(it->first);
+    it = needed ? std::next(it) : incarnations_.erase(it);
   }
 }
 
@@ -99,11 +125,12 @@
     if (!it->second.doubtful_until) it->second.doubtful_until = now + grace_period;
     return TargetChange::kDoubtful;
   }
-  Erase(it);
+  Erase(it, now);
   return TargetChange::kGone;
 }
 
-void TargetDirectory::Erase(std::map<std::string, Target>::iterator it) {
+void TargetDirectory::Erase(std::map<std::string, Target>::iterator it, TimePoint now) {
+  incarnations_[{it->first, it->second.entry.incarnation}].last_seen_at = now;
   by_service_[it->second.entry.service].erase(it->first);
   targets_.erase(it);
 }
@@ -113,7 +140,7 @@
   for (auto it = targets_.begin(); it != targets_.end();) {
     if (it->second.doubtful_until && *it->second.doubtful_until <= now) {
       expired.push_back(it->first);
-      Erase(it++);
+      Erase(it++, now);
       ++version_;
     } else {
       ++it;
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -273,7 +273,7 @@
     health.BackOff(now() + pause);
     LogRequest(LogLevel::kInfo, "target_backs_off", request, {{"pause_ms", pause.count() / 1000}});
   }
-  if (!response_fields.leaving || view_.directory.Find(request.target_id) == nullptr) return;
+  if (!response_fields.leaving) return;
   const TargetIncarnation leaving{request.target_id, request.target_incarnation};
   if (view_.directory.MarkLeaving(leaving, now()) == TargetChange::kNone) return;
   LogRequest(LogLevel::kInfo, "target_leaves", request,
--- a/tests/fleet/unit-forwarder.cpp
+++ b/tests/fleet/unit-forwarder.cpp
@@ -249,6 +249,23 @@
   CHECK(ForwarderFixture::StatusOf(fixture.Call("/write/x", "d")) == 200);
 }
 
+// Guards against a target that gets requests again when its entry comes back.
+TEST_CASE("a target that announces that it is leaving while it has no entry stays unused",
+          "[forwarder][leaving]") {
+  ForwarderFixture fixture;
+  net::ScriptedTarget& target =
+      fixture.AddTarget("t1", [](const std::string&, std::size_t) { return Reaction{}; });
+  net::RawClient& client = fixture.Send("/write/x", "a");
+  REQUIRE(fixture.RunUntil([&] { return target.requests().size() == 1; }));
+  TargetEntry entry = fixture.view.directory.Find("t1")->entry;
+  fixture.view.directory.Remove("t1", fixture.loop.now(), false, Duration{0});
+  target.Write(0, TargetResponse("a", 200, "", "Signed: 1\r\nLeaving: 1\r\n"));
+  REQUIRE(fixture.RunUntil([&] { return ForwarderFixture::IsComplete(client.received); }));
+  ++entry.sequence;
+  CHECK(fixture.view.directory.Apply(entry, fixture.loop.now()) == TargetChange::kJoined);
+  CHECK(fixture.view.directory.Find("t1")->entry.phase == TargetPhase::kDraining);
+}
+
 TEST_CASE("a target that requests a back-off gets no requests until it has ended",
           "[forwarder][back_off]") {
   const std::string path = GENERATE("/write/x", "/keyed/x");
--- a/tests/fleet/unit-routing.cpp
+++ b/tests/fleet/unit-routing.cpp
@@ -221,7 +221,7 @@
   directory.Remove("t", now, false, Duration{0});
   CHECK(directory.LeavingTargets().empty());
   ++entry.sequence;
-  directory.ForgetLeavingMarks(now + seconds(10), seconds(60));
+  directory.ForgetIncarnations(now + seconds(10), seconds(60));
   directory.Apply(entry, now + seconds(10));
   CHECK(directory.Find("t")->entry.phase == TargetPhase::kDraining);
   // Once the heartbeats report that it is leaving, the other instances need no separate report.
@@ -235,6 +235,96 @@
   CHECK(directory.Find("t")->entry.phase == TargetPhase::kReady);
 }
 
+// Guards against records that change nothing at the coordinator and are news to the others.
+TEST_CASE("a heartbeat that reports what only this instance has learned counts as a change",
+          "[routing][leaving]") {
+  TargetDirectory coordinator;
+  TargetDirectory other;
+  coordinator.Apply(Entry(1, 5), At(0));
+  other.Apply(Entry(1, 5), At(0));
+  CHECK(coordinator.MarkLeaving({"t", 1}, At(10)) == TargetChange::kLeaving);
+  TargetEntry draining = Entry(1, 6);
+  draining.phase = TargetPhase::kDraining;
+  CHECK(coordinator.Apply(draining, At(20)) == TargetChange::kPhaseReported);
+  CHECK(coordinator.LeavingTargets().empty());
+  CHECK(other.Apply(draining, At(30)) == TargetChange::kLeaving);
+  draining.sequence = 7;
+  CHECK(coordinator.Apply(draining, At(40)) == TargetChange::kNone);
+}
+
+// Guards against a cold target that the others take for warm.
+TEST_CASE("a target that stays cold for longer counts as changed", "[routing]") {
+  TargetDirectory directory;
+  TargetEntry cold = Entry(1, 5);
+  cold.cold_remaining = milliseconds(2'000);
+  directory.Apply(cold, At(0));
+  cold.sequence = 6;
+  CHECK(directory.Apply(cold, At(900)) == TargetChange::kNone);
+  cold.sequence = 7;
+  cold.cold_remaining = milliseconds(3'000);
+  CHECK(directory.Apply(cold, At(1'000)) == TargetChange::kTurnedCold);
+  CHECK(directory.Find("t")->cold(At(3'999)));
+}
+
+struct HeartbeatOrderCase {
+  const char* description;
+  /// Incarnation and sequence number of heartbeats; a sequence number of 0 removes the entry.
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> heartbeats;
+  /// Incarnation and sequence number of the current entry, if there is one.
+  std::optional<std::pair<std::uint64_t, std::uint64_t>> current;
+};
+
+// Guards against old heartbeats that are applied, and new ones that are ignored.
+TEST_CASE("the current incarnation of a target is the one that writes", "[routing][incarnation]") {
+  using Current = std::pair<std::uint64_t, std::uint64_t>;
+  const auto example = GENERATE(values<HeartbeatOrderCase>({
+      {"a restart", {{10, 5}, {20, 1}}, Current{20, 1}},
+      {"a late write of the process that ended", {{10, 5}, {20, 1}, {10, 6}}, Current{20, 1}},
+      {"a restart with a clock that was set back", {{10, 500}, {7, 1}}, Current{7, 1}},
+      {"it goes on after that", {{10, 500}, {7, 1}, {7, 2}}, Current{7, 2}},
+      {"a removed entry is read once more", {{10, 5}, {10, 6}, {0, 0}, {10, 6}}, std::nullopt},
+      {"an older record after the removal", {{10, 5}, {10, 6}, {0, 0}, {10, 5}}, std::nullopt},
+      {"a target that writes again after its removal", {{10, 6}, {0, 0}, {10, 7}}, Current{10, 7}},
+      {"a restart after the removal", {{10, 6}, {0, 0}, {7, 1}}, Current{7, 1}},
+      {"an odd entry with an early start", {{10, 6}, {3, 900}, {10, 7}}, Current{10, 7}},
+      {"an odd entry with a late start",
+       {{10, 6}, {99, 900}, {10, 7}, {10, 13}, {10, 14}},
+       Current{10, 14}},
+      {"a removal without a start time", {{0, 9}, {0, 0}, {0, 1}}, Current{0, 1}},
+  }));
+  INFO(example.description);
+  TargetDirectory directory;
+  int at = 0;
+  for (const auto& [incarnation, sequence] : example.heartbeats) {
+    ++at;
+    if (sequence == 0) {
+      directory.Remove("t", At(at), false, Duration{0});
+    } else {
+      directory.Apply(Entry(incarnation, sequence), At(at));
+    }
+  }
+  const Target* const target = directory.Find("t");
+  REQUIRE((target != nullptr) == example.current.has_value());
+  if (target == nullptr) return;
+  CHECK(Current(target->entry.incarnation, target->entry.sequence) == *example.current);
+}
+
+TEST_CASE("a target that drained and was removed does not return from an older record",
+          "[routing][leaving]") {
+  TargetDirectory directory;
+  directory.Apply(Entry(1, 5), At(0));
+  TargetEntry draining = Entry(1, 6);
+  draining.phase = TargetPhase::kDraining;
+  directory.Apply(draining, At(10));
+  directory.Remove("t", At(20), false, Duration{0});
+  CHECK(directory.Apply(Entry(1, 5), At(30)) == TargetChange::kNone);
+  CHECK(directory.Find("t") == nullptr);
+  directory.ForgetIncarnations(At(10'000), seconds(60));
+  CHECK(directory.Apply(Entry(1, 6), At(10'001)) == TargetChange::kNone);
+  directory.ForgetIncarnations(At(90'000), seconds(60));
+  CHECK(directory.Apply(Entry(1, 7), At(90'001)) == TargetChange::kJoined);
+}
+
 TEST_CASE("targets are found by their service", "[routing]") {
   TargetDirectory directory;
   TargetEntry entry = Entry(1, 5);
