--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -13,6 +13,7 @@
 #include "dogwoodport/fleet/ownership/key_coordinator.h"
 #include "dogwoodport/fleet/requests/forwarder.h"
 #include "dogwoodport/fleet/state/feed_reader.h"
+#include "dogwoodport/fleet/state/store_contacts.h"
 #include "dogwoodport/net/http_caller.h"
 
 namespace dogwoodport::fleet {
@@ -49,8 +50,9 @@
   /// Time without pushes from the coordinator after which an instance reads the feeds itself.
   Duration operators_push_timeout{1'500'000};
   Duration targets_push_timeout{1'400'000};
-  /// Interval at which each target writes its heartbeat.
-  Duration heartbeat_interval{1'000'000};
+  /// Time without contact of any instance from which on the store counts as unavailable. Longer
+  /// than `targets_push_timeout`, after which instances contact it themselves.
+  Duration min_store_outage{1'600'000};
   /// Time after an outage of the store in which live targets write their entries again.
   Duration entry_restore_time{2'200'000};
   /// Minimum time without reports from the coordinator after which another instance takes over.
@@ -92,6 +94,9 @@
   bool ApplyTarget(const StoreRecord& record, const FeedUpdate& update);
   /// Logs a change, with `details` about its origin, and updates the state that depends on it.
   void OnTargetChange(const std::string& id, TargetChange change, const nlohmann::json& details);
+  /// Removes the targets whose entries are still missing some time after an outage, or were removed
+  /// although there was none.
+  void RemoveDoubtfulTargets();
   void PushFeed(Feed feed, std::uint64_t from, std::uint64_t end, bool complete);
   void OnFeedPush(const FeedPush& push);
   void ForgetTarget(const std::string& id);
@@ -161,6 +166,8 @@
   net::HttpCaller caller_;
   PeerExchange peers_;
   KeyCoordinator coordinator_;
+  /// Contacts of all instances with the targets' feed.
+  StoreContacts target_contacts_;
   FeedReader operators_;
   FeedReader targets_;
   /// Target ids by the hashes used in load messages.
--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <msgpack.hpp>
@@ -60,10 +61,13 @@
   std::vector<TargetIncarnation> leaving_targets;
   QuarantineReport quarantine;
   std::vector<TargetLimitReport> target_limits;
+  /// Age of the sender's latest verified data from the targets' feed.
+  std::uint32_t targets_age_ms = std::numeric_limits<std::uint32_t>::max();
 
   MSGPACK_DEFINE_ARRAY(address, incarnation, sequence_number, sent_at_us, data_centre,
                        processor_share, leading, leaving, store_age_ms, generation, revision,
-                       wants_table, urgent, key_load, leaving_targets, quarantine, target_limits)
+                       wants_table, urgent, key_load, leaving_targets, quarantine, target_limits,
+                       targets_age_ms)
 };
 
 /// Number of requests that an instance has in flight, by hash of the target. Sent more often than
@@ -114,7 +118,8 @@
   std::uint64_t end = 0;
   /// Time, on the receiver's clock in microseconds, at which the feed had no record beyond `end`.
   std::int64_t verified_at_us = 0;
-  /// The store has become available only recently, so entries of live targets may be missing.
+  /// The store has become available only recently, as observed by the coordinator. Receivers of
+  /// earlier versions keep removed targets for some time then; others judge by all contacts.
   bool store_was_unavailable = false;
   std::vector<StoreRecord> records;
 
--- a/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/target_directory.h
@@ -19,9 +19,8 @@
   /// Phase according to the heartbeat alone.
   TargetPhase heartbeat_phase = TargetPhase::kReady;
   TimePoint cold_until{};
-  /// Set if the entry was removed while the store may have lost heartbeats. The target is
-  /// considered gone after this time.
-  std::optional<TimePoint> doubtful_until;
+  /// Whether the entry was removed while the store may have lost heartbeats.
+  bool doubtful = false;
 
   bool cold(TimePoint now) const noexcept { return now < cold_until; }
 };
@@ -61,14 +60,14 @@
   /// Forgets incarnations that have had no entry and no new mark for `retention`.
   void ForgetIncarnations(TimePoint now, Duration retention);
 
-  /// Applies the removal of an entry. If `store_was_unavailable`, live targets may have lost their
-  /// entries as well and will write them again, so the target is kept for `grace_period` unless it
-  /// is draining.
-  TargetChange Remove(const std::string& id, TimePoint now, bool store_was_unavailable,
-                      Duration grace_period);
+  /// Applies the removal of an entry. If `may_be_alive`, the store may have lost the entries of
+  /// live targets, which will write them again. The target is then kept as doubtful unless it is
+  /// draining.
+  TargetChange Remove(const std::string& id, TimePoint now, bool may_be_alive);
 
-  /// Removes doubtful targets whose grace period has expired and returns their ids.
-  std::vector<std::string> Expire(TimePoint now);
+  /// Removes the doubtful targets and returns their ids. Complexity: linear in the targets.
+  std::vector<std::string> RemoveDoubtful(TimePoint now);
+  bool has_doubtful() const noexcept { return doubtful_count_ > 0; }
 
   const Target* Find(const std::string& id) const;
   const std::map<std::string, Target>& targets() const noexcept { return targets_; }
@@ -92,11 +91,13 @@
   bool HasIncarnation(const TargetIncarnation& target) const;
   /// Whether a heartbeat is older than what is known of the target.
   bool IsOutdated(const TargetEntry& heartbeat) const;
+  void SetDoubtful(Target& target, bool doubtful);
   void Erase(std::map<std::string, Target>::iterator it, TimePoint now);
 
   std::map<std::string, Target> targets_;
   std::map<std::string, std::map<std::string, const Target*>> by_service_;
   std::map<TargetIncarnation, Incarnation> incarnations_;
+  std::size_t doubtful_count_ = 0;
   std::uint64_t version_ = 1;
 };
 
--- a/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
+++ b/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
@@ -5,7 +5,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 
 #include "dogwoodport/fleet/event_log.h"
 #include "dogwoodport/fleet/state/metadata_store.h"
@@ -22,13 +21,8 @@
   Duration long_poll_wait{0};
   /// Time between the end of a read and the next one.
   Duration read_pause{0};
-  /// Time without pushes from the coordinator after which the reader reads from the store itself.
+  /// Age of the latest push from the coordinator at which the reader reads from the store itself.
   Duration push_timeout{0};
-  /// Interval at which each writer of the feed appends a record. If zero, the records do not show
-  /// whether the store was available to the writers.
-  Duration heartbeat_interval{0};
-  /// Time after an outage of the store in which the writers append their records again.
-  Duration restore_time{0};
 };
 
 /// How records of a feed reached this instance.
@@ -46,9 +40,6 @@
   /// If set, `records` contains the newest record of each key, otherwise the records that follow
   /// those delivered before.
   bool complete = false;
-  /// The store became available again at most `FeedSettings::restore_time` ago, as observed by the
-  /// instance that has read the records.
-  bool was_unavailable = false;
   const std::vector<StoreRecord>& records;
 };
 
@@ -69,10 +60,9 @@
   void Start();
 
   /// Accepts a part of the feed that the coordinator has read: all relevant records from offset
-  /// `from` up to `end`. `verified_at` refers to the clock of this instance. `was_unavailable` is
-  /// passed on with the records; what this reader observed itself has no effect on them.
+  /// `from` up to `end`. `verified_at` refers to the clock of this instance.
   void AcceptPush(std::uint64_t from, std::uint64_t end, TimePoint verified_at,
-                  bool was_unavailable, const std::vector<StoreRecord>& records);
+                  const std::vector<StoreRecord>& records);
 
   /// Sets whether this reader always reads from the store, because other instances depend on it.
   void SetAlwaysReads(bool always) noexcept { always_reads_ = always; }
@@ -86,20 +76,16 @@
   /// Time up to which all records of the feed have been handled.
   TimePoint verified_at() const noexcept { return verified_at_; }
   bool loaded() const noexcept { return loaded_; }
-  /// Whether the store became available again at most `FeedSettings::restore_time` ago. Failures
-  /// of this reader during which the writers reached the store do not count.
-  bool StoreWasUnavailable() const noexcept;
 
  private:
+  /// Calls the handler. Logs its exceptions.
+  void Deliver(const FeedUpdate& update);
   void ReadNext();
   void ScheduleNext(Duration pause);
   bool ReceivesPushes() const;
   void OnReadDone(TimePoint sent_at, bool complete, const ReadOutcome& outcome);
-  /// Returns the minimum duration of an outage that makes entries of live writers expire.
-  Duration MinExpiryTime() const noexcept;
-  /// `records` are those of the successful read, or nullptr if it shows only the newest ones.
-  void OnAvailable(const std::vector<StoreRecord>* records);
-  void OnUnavailable(TimePoint sent_at, const StoreUnavailable& outcome);
+  void OnAvailable();
+  void OnUnavailable(const StoreUnavailable& outcome);
 
   net::EventLoop& loop_;
   MetadataStore& store_;
@@ -113,9 +99,9 @@
   bool always_reads_ = false;
   Duration extra_pause_{0};
   bool reading_ = false;
-  TimePoint last_push_at_{};
+  /// Latest `verified_at` of a push.
+  TimePoint push_verified_at_{};
   TimePoint verified_at_{};
-  std::optional<TimePoint> last_recovery_at_;
   TimePoint unavailable_since_{};
   std::uint32_t failures_ = 0;
   net::TimerId timer_;
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -1,6 +1,7 @@
 #include "dogwoodport/fleet/instance.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "dogwoodport/fleet/detail/name_hash.h"
@@ -59,6 +60,12 @@
   return result;
 }
 
+/// Returns the time since `since`, limited to the range of the result.
+std::uint32_t MillisecondsSince(TimePoint since, TimePoint now) {
+  constexpr std::uint32_t kMax = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min<Duration::rep>(kMax, (now - since).count() / 1000));
+}
+
 net::HttpResponse PlainResponse(int status, std::string body) {
   net::HttpResponse response;
   response.status = status;
@@ -105,6 +112,7 @@
              {settings_.peer_address, settings_.data_centre, settings_.incarnation,
               static_cast<float>(settings_.processor_share)}),
       coordinator_(MakePorts(), settings_.coordinator, settings_.peer_address),
+      target_contacts_(settings_.min_store_outage, settings_.entry_restore_time),
       operators_(
           loop, store, log,
           {Feed::kOperators, "operators", settings_.operators_long_poll_wait, Duration{0},
@@ -116,8 +124,7 @@
       targets_(
           loop, store, log,
           {Feed::kTargets, "targets", Duration{0}, settings_.targets_read_pause,
-           settings_.targets_push_timeout, settings_.heartbeat_interval,
-           settings_.entry_restore_time},
+           settings_.targets_push_timeout},
           [this](const FeedUpdate& update) { OnTargetRecords(update); },
           [this](std::uint64_t from, std::uint64_t end, bool complete) {
             PushFeed(Feed::kTargets, from, end, complete);
@@ -216,7 +223,8 @@
   report.wants_table = wants_table_;
   report.leading = coordinator_.leading();
   report.leaving = stopping_;
-  report.store_age_ms = static_cast<std::uint32_t>((now - operators_.verified_at()).count() / 1000);
+  report.store_age_ms = MillisecondsSince(operators_.verified_at(), now);
+  report.targets_age_ms = MillisecondsSince(targets_.verified_at(), now);
   report.generation = view_.keys.generation;
   report.revision = view_.keys.revision;
   // The coordinator's own updates are included in its digests.
@@ -272,6 +280,7 @@
 void Instance::Tick() {
   const TimePoint now = loop_.now();
   view_.config_verified_at = operators_.verified_at();
+  RemoveDoubtfulTargets();
   if (forwarder_.waiting() > 0) forwarder_.DispatchWaiting();
   coordinator_.Tick();
   CheckCoordinator();
@@ -323,9 +332,6 @@
 
 void Instance::RunMaintenance() {
   next_maintenance_ = loop_.now() + kMaintenanceInterval;
-  for (const std::string& id : view_.directory.Expire(loop_.now())) {
-    OnTargetChange(id, TargetChange::kGone, {{"source", "expiry"}});
-  }
   for (auto it = view_.health.begin(); it != view_.health.end();) {
     const bool unused = view_.directory.Find(it->first) == nullptr && it->second.in_flight() == 0;
     it = unused ? view_.health.erase(it) : std::next(it);
--- a/packages/fleet/src/instance_feeds.cc
+++ b/packages/fleet/src/instance_feeds.cc
@@ -86,8 +86,8 @@
       if (listed_ids.count(id) == 0) removed_ids.push_back(id);
     }
     for (const std::string& id : removed_ids) {
-      const TargetChange change = view_.directory.Remove(id, loop_.now(), update.was_unavailable,
-                                                         settings_.entry_restore_time);
+      const TargetChange change = view_.directory.Remove(
+          id, loop_.now(), target_contacts_.EntriesMayBeMissing(loop_.now()));
       OnTargetChange(id, change, {{"source", "complete_read"}});
     }
   }
@@ -98,8 +98,8 @@
   const TimePoint now = loop_.now();
   const nlohmann::json details = {{"source", NameOf(update.source)}, {"offset", record.offset}};
   if (!record.value) {
-    const TargetChange change = view_.directory.Remove(record.key, now, update.was_unavailable,
-                                                       settings_.entry_restore_time);
+    const TargetChange change =
+        view_.directory.Remove(record.key, now, target_contacts_.EntriesMayBeMissing(now));
     OnTargetChange(record.key, change, details);
     // Others may have the entry although this instance does not.
     return true;
@@ -144,7 +144,15 @@
   }
 }
 
+void Instance::RemoveDoubtfulTargets() {
+  if (!view_.directory.has_doubtful() || target_contacts_.EntriesMayBeMissing(loop_.now())) return;
+  for (const std::string& id : view_.directory.RemoveDoubtful(loop_.now())) {
+    OnTargetChange(id, TargetChange::kGone, {{"source", "expiry"}});
+  }
+}
+
 void Instance::PushFeed(Feed feed, std::uint64_t from, std::uint64_t end, bool complete) {
+  if (feed == Feed::kTargets) target_contacts_.Add(targets_.verified_at());
   std::vector<StoreRecord>& recent = recent_changes_[feed];
   // A complete read does not show which keys were removed, so the other instances must read the
   // feed themselves.
@@ -166,15 +174,15 @@
   }
   recent = push.records;
   const FeedReader& reader = feed == Feed::kOperators ? operators_ : targets_;
-  push.store_was_unavailable = reader.StoreWasUnavailable();
+  push.store_was_unavailable = target_contacts_.EntriesMayBeMissing(loop_.now());
   peers_.PushFeed(std::move(push), reader.verified_at());
 }
 
 void Instance::OnFeedPush(const FeedPush& push) {
   if (coordinator_.leading()) return;
   FeedReader& reader = static_cast<Feed>(push.feed) == Feed::kOperators ? operators_ : targets_;
-  reader.AcceptPush(push.from, push.end, TimePoint(Duration(push.verified_at_us)),
-                    push.store_was_unavailable, push.records);
+  reader.AcceptPush(push.from, push.end, TimePoint(Duration(push.verified_at_us)), push.records);
+  if (static_cast<Feed>(push.feed) == Feed::kTargets) target_contacts_.Add(targets_.verified_at());
   recent_changes_[static_cast<Feed>(push.feed)].clear();
 }
 
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -56,6 +56,7 @@
 
 void Instance::OnReport(const Peer& peer) {
   const PeerReport& report = peer.report;
+  target_contacts_.Add(loop_.now() - std::chrono::milliseconds(report.targets_age_ms));
   MarkLeaving(report.leaving_targets);
   view_.quarantine.OnReport(report.quarantine, loop_.now());
   view_.target_limits.OnReport(report.target_limits, loop_.now());
@@ -152,7 +153,7 @@
            view_.withdrawn_data_centres.count(target.entry.data_centre) == 0;
   };
   ports.may_grow = [this](const Target& target) {
-    return view_.Usable(target, loop_.now()) && !target.cold(loop_.now()) && !target.doubtful_until;
+    return view_.Usable(target, loop_.now()) && !target.cold(loop_.now()) && !target.doubtful;
   };
   ports.others_follow = [this] {
     // Reports in transit at the time of the take-over do not count.
--- a/packages/fleet/src/membership/target_directory.cc
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -69,10 +69,8 @@
   if (joined || change == TargetChange::kRestarted || entry.cold_remaining > Duration{0}) {
     target.cold_until = cold_until;
   }
-  if (target.doubtful_until) {
-    target.doubtful_until.reset();
-    if (change == TargetChange::kNone) change = TargetChange::kChanged;
-  }
+  if (change == TargetChange::kNone && target.doubtful) change = TargetChange::kChanged;
+  SetDoubtful(target, false);
   if (!joined && target.entry.service != entry.service) {
     by_service_[target.entry.service].erase(entry.id);
   }
@@ -116,37 +114,41 @@
   }
 }
 
-TargetChange TargetDirectory::Remove(const std::string& id, TimePoint now,
-                                     bool store_was_unavailable, Duration grace_period) {
+TargetChange TargetDirectory::Remove(const std::string& id, TimePoint now, bool may_be_alive) {
   const auto it = targets_.find(id);
   if (it == targets_.end()) return TargetChange::kNone;
   ++version_;
-  if (store_was_unavailable && it->second.entry.phase == TargetPhase::kReady) {
-    if (!it->second.doubtful_until) it->second.doubtful_until = now + grace_period;
+  if (may_be_alive && it->second.entry.phase == TargetPhase::kReady) {
+    SetDoubtful(it->second, true);
     return TargetChange::kDoubtful;
   }
   Erase(it, now);
   return TargetChange::kGone;
 }
 
+void TargetDirectory::SetDoubtful(Target& target, bool doubtful) {
+  if (target.doubtful == doubtful) return;
+  target.doubtful = doubtful;
+  doubtful ? ++doubtful_count_ : --doubtful_count_;
+}
+
 void TargetDirectory::Erase(std::map<std::string, Target>::iterator it, TimePoint now) {
   incarnations_[{it->first, it->second.entry.incarnation}].last_seen_at = now;
+  SetDoubtful(it->second, false);
   by_service_[it->second.entry.service].erase(it->first);
   targets_.erase(it);
 }
 
-std::vector<std::string> TargetDirectory::Expire(TimePoint now) {
-  std::vector<std::string> expired;
+std::vector<std::string> TargetDirectory::RemoveDoubtful(TimePoint now) {
+  std::vector<std::string> removed;
   for (auto it = targets_.begin(); it != targets_.end();) {
-    if (it->second.doubtful_until && *it->second.doubtful_until <= now) {
-      expired.push_back(it->first);
-      Erase(it++, now);
-      ++version_;
-    } else {
-      ++it;
-    }
+    const auto current = it++;
+    if (!current->second.doubtful) continue;
+    removed.push_back(current->first);
+    Erase(current, now);
+    ++version_;
   }
-  return expired;
+  return removed;
 }
 
 const std::map<std::string, const Target*>& TargetDirectory::OfService(
--- a/packages/fleet/src/state/feed_reader.cc
+++ b/packages/fleet/src/state/feed_reader.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <array>
 
-#include "dogwoodport/fleet/state/heartbeat_evidence.h"
-
 namespace dogwoodport::fleet {
 namespace {
 
@@ -13,13 +11,6 @@
 constexpr Duration kMaxRetryDelay{400'000};
 /// Interval at which the reader checks whether pushes from the coordinator still arrive.
 constexpr Duration kPushCheckInterval{150'000};
-/// Shorter failures are not treated as an outage, because no target entry can expire within this
-/// time.
-constexpr Duration kMinOutage{500'000};
-
-/// Number of heartbeats that an outage suppresses at least if it makes an entry expire.
-constexpr int kMinMissedHeartbeats = 2;
-
 constexpr std::array<const char*, 2> kSourceNames = {"read", "push"};
 
 }  // namespace
@@ -42,7 +33,7 @@
 void FeedReader::Start() { ReadNext(); }
 
 bool FeedReader::ReceivesPushes() const {
-  return !always_reads_ && loaded_ && loop_.now() - last_push_at_ < settings_.push_timeout;
+  return !always_reads_ && loaded_ && loop_.now() - push_verified_at_ < settings_.push_timeout;
 }
 
 void FeedReader::ScheduleNext(Duration pause) {
@@ -54,9 +45,9 @@
 }
 
 void FeedReader::AcceptPush(std::uint64_t from, std::uint64_t end, TimePoint verified_at,
-                            bool was_unavailable, const std::vector<StoreRecord>& records) {
+                            const std::vector<StoreRecord>& records) {
   if (!loaded_ || from > next_offset_) return;  // Gap: the next read from the store fills it.
-  last_push_at_ = loop_.now();
+  push_verified_at_ = std::max(push_verified_at_, verified_at);
   available_ = true;
   failures_ = 0;
   std::vector<StoreRecord> fresh;
@@ -67,13 +58,26 @@
     next_offset_ = end;
     verified_at_ = std::max(verified_at_, verified_at);
   }
-  if (!fresh.empty()) handler_({FeedSource::kPush, false, was_unavailable, fresh});
+  if (!fresh.empty()) Deliver({FeedSource::kPush, false, fresh});
+}
+
+void FeedReader::Deliver(const FeedUpdate& update) {
+  try {
+    handler_(update);
+  } catch (const std::exception& e) {
+    // The reader goes on, so that one record cannot end the following of the feed.
+    log_.Write(LogLevel::kError, "records_not_handled",
+               {{"feed", settings_.name},
+                {"source", NameOf(update.source)},
+                {"records", update.records.size()},
+                {"reason", e.what()}});
+  }
 }
 
 void FeedReader::ReadNext() {
   if (reading_) return;
   if (ReceivesPushes()) {
-    const Duration remaining = last_push_at_ + settings_.push_timeout - loop_.now();
+    const Duration remaining = push_verified_at_ + settings_.push_timeout - loop_.now();
     ScheduleNext(std::min(kPushCheckInterval, remaining));
     return;
   }
@@ -96,7 +100,7 @@
   Duration pause = settings_.read_pause + (always_reads_ ? Duration{0} : extra_pause_);
   const std::uint64_t from = next_offset_;
   if (const auto* const records = std::get_if<StoreRecords>(&outcome)) {
-    OnAvailable(complete ? nullptr : &records->records);
+    OnAvailable();
     std::uint64_t next = records->end;
     if (!complete && !records->records.empty()) next = records->records.back().offset + 1;
     if (next < records->end) pause = Duration{0};
@@ -106,61 +110,37 @@
       if (next >= records->end) verified_at_ = std::max(verified_at_, sent_at);
       loaded_ = true;
       if (complete || !records->records.empty()) {
-        handler_({FeedSource::kRead, complete, StoreWasUnavailable(), records->records});
+        Deliver({FeedSource::kRead, complete, records->records});
       }
       on_read_(from, next, complete);
     }
   } else if (std::holds_alternative<StoreTrimmed>(outcome)) {
-    OnAvailable(nullptr);
+    OnAvailable();
     log_.Write(LogLevel::kWarning, "feed_trimmed",
                {{"feed", settings_.name}, {"offset", next_offset_}});
     loaded_ = false;
     pause = Duration{0};
   } else {
-    OnUnavailable(sent_at, std::get<StoreUnavailable>(outcome));
+    OnUnavailable(std::get<StoreUnavailable>(outcome));
     pause = std::min(kMaxRetryDelay, kMinRetryDelay * (1 << std::min(failures_ - 1, 4U)));
   }
   ScheduleNext(pause);
 }
 
-Duration FeedReader::MinExpiryTime() const noexcept {
-  return settings_.heartbeat_interval > Duration{0}
-             ? settings_.heartbeat_interval * kMinMissedHeartbeats
-             : Duration::max();
-}
-
-bool FeedReader::StoreWasUnavailable() const noexcept {
-  return last_recovery_at_ && loop_.now() - *last_recovery_at_ < settings_.restore_time;
-}
-
-void FeedReader::OnAvailable(const std::vector<StoreRecord>* records) {
-  const TimePoint now = loop_.now();
-  const Duration unverified = now - verified_at_;
-  const Duration failing = available_ ? Duration{0} : now - unavailable_since_;
-  // A read that was answered late, or a suspension of this process, hides an outage.
-  const bool may_have_missed_outage = records != nullptr && unverified >= MinExpiryTime();
-  const bool writers_reached_store =
-      records != nullptr && WritersReachedStore(*records, unverified, settings_.heartbeat_interval);
-  const bool was_outage =
-      (failing > kMinOutage || may_have_missed_outage) && !writers_reached_store;
-  if (was_outage) last_recovery_at_ = now;
-  if (!available_ || was_outage) {
-    log_.Write(LogLevel::kInfo, "store_regained",
-               {{"feed", settings_.name},
-                {"away_ms", failing.count() / 1000},
-                {"unverified_ms", unverified.count() / 1000},
-                {"outage", was_outage},
-                {"writers_reached_store", writers_reached_store}});
-  }
+void FeedReader::OnAvailable() {
   failures_ = 0;
+  if (available_) return;
   available_ = true;
+  log_.Write(
+      LogLevel::kInfo, "store_regained",
+      {{"feed", settings_.name}, {"away_ms", (loop_.now() - unavailable_since_).count() / 1000}});
 }
 
-void FeedReader::OnUnavailable(TimePoint sent_at, const StoreUnavailable& outcome) {
+void FeedReader::OnUnavailable(const StoreUnavailable& outcome) {
   ++failures_;
   if (!available_) return;
   available_ = false;
-  unavailable_since_ = sent_at;
+  unavailable_since_ = loop_.now();
   log_.Write(LogLevel::kWarning, "store_lost",
              {{"feed", settings_.name},
               {"reason", outcome.reason},
