--- a/packages/fleet/src/instance_feeds.cc
+++ b/packages/fleet/src/instance_feeds.cc
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Maximum length of the reason for which an entry is unusable, in bytes. Parsers quote the entry.
+constexpr std::size_t kMaxReasonBytes = 200;
+
 /// Interval at which the addresses of instances are read while no other instance is reachable.
 constexpr Duration kRegistryReadInterval{2'000'000};
 
@@ -106,13 +109,21 @@
   }
   try {
     const TargetEntry entry = protocol_.ReadTarget(record.key, *record.value);
+    const Target* const known = view_.directory.Find(entry.id);
+    const bool moves_to_unknown_service = known != nullptr &&
+                                          known->entry.incarnation == entry.incarnation &&
+                                          known->entry.service != entry.service && view_.config &&
+                                          view_.config->FindService(entry.service) == nullptr;
+    if (moves_to_unknown_service) throw std::runtime_error("unknown service");
     target_names_[ShortHashOf(entry.id)] = entry.id;
     const TargetChange change = view_.directory.Apply(entry, now);
     OnTargetChange(entry.id, change, details);
     return change != TargetChange::kNone;
   } catch (const std::exception& e) {
     log_.Write(LogLevel::kWarning, "target_entry_unusable",
-               {{"target", record.key}, {"offset", record.offset}, {"reason", e.what()}});
+               {{"target", record.key},
+                {"offset", record.offset},
+                {"reason", std::string(e.what()).substr(0, kMaxReasonBytes)}});
     return false;
   }
 }
@@ -206,13 +217,13 @@
     registry_read_ = true;
     for (const StoreRecord& it : records->records) {
       if (!it.value) continue;
-      const nlohmann::json entry = nlohmann::json::parse(*it.value, nullptr, false);
-      if (!entry.is_object()) {
+      try {
+        const nlohmann::json entry = nlohmann::json::parse(*it.value);
+        peers_.AddPeer({it.key, entry.value("data_centre", std::string()),
+                        entry.value("processor_share", 0.0F)});
+      } catch (const std::exception&) {
         log_.Write(LogLevel::kWarning, "instance_entry_unusable", {{"instance", it.key}});
-        continue;
       }
-      peers_.AddPeer(
-          {it.key, entry.value("data_centre", ""), entry.value("processor_share", 0.0F)});
     }
     peers_.ReportNow();
   });
--- a/tests/platform/unit-records.cpp
+++ b/tests/platform/unit-records.cpp
@@ -43,6 +43,98 @@
   CHECK_THROWS(WireProtocol().ReadTarget("i-1", text));
 }
 
+/// The valid entry with one field replaced by other JSON text.
+std::string EntryWith(const std::string& field, const std::string& value) {
+  const std::string name = "\"" + field + "\":";
+  std::string text = kEntry;
+  const std::size_t begin = text.find(name) + name.size();
+  std::size_t end = text.find(",\"", begin);
+  if (end == std::string::npos) end = text.size() - 1;
+  return text.replace(begin, end - begin, value);
+}
+
+struct OddField {
+  const char* field;
+  const char* value;
+};
+
+// Guards against entries of other writers that are taken for targets, or whose conversion depends
+// on the processor.
+TEST_CASE("an entry with a field out of range names no target", "[records][odd_entry]") {
+  const auto example = GENERATE(values<OddField>({
+      {"address", R"("127.0.0.1:70000")"},
+      {"address", R"("127.0.0.1:0")"},
+      {"address", R"("127.0.0.1:-1")"},
+      {"address", R"("127.0.0.1:+80")"},
+      {"address", R"("127.0.0.1:")"},
+      {"address", R"("127.0.0.1")"},
+      {"address", R"("")"},
+      {"address", R"("127.0.0.1:80\n")"},
+      {"address", R"("127.0.0.1\n:80")"},
+      {"address", R"("host.example:80")"},
+      {"address", R"("0.0.0.0:80")"},
+      {"address", R"("224.0.0.1:80")"},
+      {"address", R"("[::1]:80")"},
+      {"address", "[]"},
+      {"slots", "1e300"},
+      {"slots", "4.5"},
+      {"slots", "-3"},
+      {"slots", "0"},
+      {"slots", "4294967300"},
+      {"slots", "true"},
+      {"slots", "1e999"},
+      {"sequence", "1e30"},
+      {"sequence", "-1"},
+      {"sequence", "1.5"},
+      {"sequence", "18446744073709551615"},
+      {"sequence", "\"4\""},
+      {"born", "-1"},
+      {"born", "1e30"},
+      {"born", "null"},
+      {"born", "18446744073709551616"},
+      {"state", R"("odd")"},
+      {"state", "7"},
+      {"service", R"("")"},
+      {"service", R"("a b")"},
+      {"zone", R"("z\r\nX: 1")"},
+      {"zone", "{}"},
+      {"coldRemaining", R"("-1ms")"},
+      {"coldRemaining", R"("1e999s")"},
+      {"coldRemaining", "7"},
+  }));
+  const std::string text = EntryWith(example.field, example.value);
+  INFO(text);
+  CHECK_THROWS_AS(WireProtocol().ReadTarget("i-1", text), std::exception);
+}
+
+TEST_CASE("an entry that is too large or nested too deeply names no target",
+          "[records][odd_entry]") {
+  const std::size_t depth = GENERATE(17U, 1'000U, 100'000U, 1'000'000U);
+  const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+  const std::string objects = [&] {
+    std::string text;
+    for (std::size_t i = 0; i < depth; ++i) text += "{\"a\":";
+    return text + "1" + std::string(depth, '}');
+  }();
+  for (const std::string& it : {nested, objects, nested.substr(0, depth),
+                                EntryWith("version", nested), EntryWith("version", objects),
+                                EntryWith("version", "\"" + std::string(16'384, 'v') + "\"")}) {
+    CHECK_THROWS_AS(WireProtocol().ReadTarget("i-1", it), std::exception);
+  }
+}
+
+TEST_CASE("fields that are not known have no effect on an entry", "[records][odd_entry]") {
+  const std::string text = EntryWith("version", R"({"a":[1,2.5,null,{"b":-7}]})");
+  CHECK(WireProtocol().ReadTarget("i-1", text).slots == 6);
+}
+
+TEST_CASE("a record whose key cannot be written into a header field names no target",
+          "[records][odd_entry]") {
+  const auto id =
+      GENERATE(values<std::string>({"", "a b", "a\r\nX: 1", "\xff\xfe", std::string(201, 'i')}));
+  CHECK_THROWS_AS(WireProtocol().ReadTarget(id, kEntry), std::exception);
+}
+
 constexpr const char* kConfig =
     R"({"version":7,"services":[{"name":"s","maxConnections":63,"coldStart":"3s","coldPerS":21.0},)"
     R"({"name":"k","sharded":true}],"limits":{"maxHeaderBytes":1000,"idleTimeout":"15s"},)"
--- a/tools/soak/faults.cc
+++ b/tools/soak/faults.cc
@@ -1,5 +1,6 @@
 #include "soak/faults.h"
 
+#include <array>
 #include <csignal>
 #include <ostream>
 
@@ -17,6 +18,15 @@
 constexpr Duration kCrashingRequestInterval{900'000};
 constexpr std::size_t kCrashingRequestServices = 2;
 constexpr std::size_t kCrashingRequestVariants = 2;
+/// Interval between disturbances of the targets' entries, and maximum time for which the store
+/// turns an instance away.
+constexpr Duration kTargetEntryInterval{1'300'000};
+constexpr int kMaxRefusalMs = 1'500;
+/// Values that name no target.
+const std::array<std::string, 5> kOddEntries = {
+    std::string(50'000, '['), R"({"slots":1e999})",
+    R"({"service":"stock","address":"127.0.0.1:70000","zone":"east","slots":4,"state":"ready","sequence":1e30})",
+    "\xff\xfe", "null"};
 /// Time after a pause or a cut until what was held up has arrived.
 constexpr Duration kLimitRecoveryTime{1'000'000};
 
@@ -56,6 +66,7 @@
       fleet_(fleet),
       random_engine_(seed),
       crashing_request_random_(seed),
+      target_entry_random_(seed),
       history_(history) {
   constexpr std::array<double, 3> kLimits = {0.5, 2, 5.3};
   limited_target_ = static_cast<std::size_t>(seed) % fleet_.targets();
@@ -66,6 +77,7 @@
   const TimePoint end = loop_.Refresh() + duration;
   const TimePoint start = loop_.now();
   SendCrashingRequests();
+  DisturbTargetEntries();
   while (loop_.now() < end) {
     NameLimit();
     const FaultKind& fault_kind = FaultKinds()[RandomIndex(FaultKinds().size())];
@@ -91,6 +103,31 @@
   loop_.RunAfter(kCrashingRequestInterval, [this] { SendCrashingRequests(); });
 }
 
+void FaultInjector::DisturbTargetEntries() {
+  const auto pick = [this](std::size_t count) {
+    return static_cast<std::size_t>(target_entry_random_() % count);
+  };
+  const std::size_t target = pick(fleet_.targets());
+  const std::size_t instance = pick(fleet_.instances());
+  switch (pick(3)) {
+    case 0: {
+      const auto* const server = fleet_.Target(target);
+      const std::string id = server == nullptr ? "odd" : server->settings().id;
+      fleet_.store().PutTarget(id, kOddEntries[pick(kOddEntries.size())]);
+      break;
+    }
+    case 1:
+      fleet_.RemoveTarget(target);
+      break;
+    default:
+      fleet_.SetStoreRefuses(instance, true);
+      const auto refusal = static_cast<int>(pick(kMaxRefusalMs));
+      RepairAfter(std::chrono::milliseconds(refusal),
+                  [this, instance] { fleet_.SetStoreRefuses(instance, false); });
+  }
+  loop_.RunAfter(kTargetEntryInterval, [this] { DisturbTargetEntries(); });
+}
+
 void FaultInjector::RepairAfter(Duration duration, std::function<void()> repair) {
   fleet_.RecordDisturbance(duration);
   const int repair_id = next_repair_id_++;
--- a/tools/soak/faults.h
+++ b/tools/soak/faults.h
@@ -53,6 +53,9 @@
   void WithdrawDataCentre();
   /// Makes the limited target name its limit, also after it was restarted.
   void NameLimit();
+  /// Adds an odd entry to those of the targets, removes the entry of a target that leaves, or makes
+  /// the store turn one instance away, and schedules the next one.
+  void DisturbTargetEntries();
   /// Sends one of a few requests that crash their targets to a random instance, and schedules the
   /// next one.
   void SendCrashingRequests();
@@ -75,6 +78,8 @@
   /// Separate engine for the crashing requests, so that the sequence of faults depends on the seed
   /// only.
   std::mt19937_64 crashing_request_random_;
+  /// Likewise for the entries of the targets.
+  std::mt19937_64 target_entry_random_;
   std::ostream& history_;
   std::map<int, std::function<void()>> pending_repairs_;
   int next_repair_id_ = 0;
