--- a/packages/fleet/src/membership/target_directory.cc
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -127,9 +127,9 @@
 }
 
 void TargetDirectory::SetDoubtful(Target& target, bool doubtful) {
-  if (target.doubtful == doubtful) return;
+  if (target.doubtful && !doubtful) --doubtful_count_;
+  if (!target.doubtful && doubtful) ++doubtful_count_;
   target.doubtful = doubtful;
-  doubtful ? ++doubtful_count_ : --doubtful_count_;
 }
 
 void TargetDirectory::Erase(std::map<std::string, Target>::iterator it, TimePoint now) {
--- a/tools/soak/faults.cc
+++ b/tools/soak/faults.cc
@@ -1,6 +1,5 @@
 #include "soak/faults.h"
 
-#include <array>
 #include <csignal>
 #include <ostream>
 
@@ -22,14 +21,17 @@
 /// turns an instance away.
 constexpr Duration kTargetEntryInterval{1'300'000};
 constexpr int kMaxRefusalMs = 1'500;
-/// Values that name no target.
-const std::array<std::string, 5> kOddEntries = {
-    std::string(50'000, '['), R"({"slots":1e999})",
-    R"({"service":"stock","address":"127.0.0.1:70000","zone":"east","slots":4,"state":"ready","sequence":1e30})",
-    "\xff\xfe", "null"};
 /// Time after a pause or a cut until what was held up has arrived.
 constexpr Duration kLimitRecoveryTime{1'000'000};
 
+/// Returns values that name no target.
+std::vector<std::string> OddEntries() {
+  const std::string bad_port =
+      R"({"service":"stock","address":"127.0.0.1:70000","zone":"east","slots":4,)"
+      R"("state":"ready","sequence":1e30})";
+  return {std::string(50'000, '['), R"({"slots":1e999})", bad_port, "\xff\xfe", "null"};
+}
+
 }  // namespace
 
 const std::vector<FaultInjector::FaultKind>& FaultInjector::FaultKinds() {
@@ -86,6 +88,7 @@
     // Injects faults in bursts, with longer pauses between the bursts.
     fleet_.Run(RandomIndex(4) == 0 ? RandomDuration(500, 2'500) : RandomDuration(20, 400));
   }
+  loop_.Cancel(target_entry_timer_);
   const auto repairs = std::exchange(pending_repairs_, {});
   for (const auto& [repair_id, repair] : repairs) repair();
 }
@@ -113,7 +116,8 @@
     case 0: {
       const auto* const server = fleet_.Target(target);
       const std::string id = server == nullptr ? "odd" : server->settings().id;
-      fleet_.store().PutTarget(id, kOddEntries[pick(kOddEntries.size())]);
+      const std::vector<std::string> values = OddEntries();
+      fleet_.store().PutTarget(id, values[pick(values.size())]);
       break;
     }
     case 1:
@@ -125,7 +129,7 @@
       RepairAfter(std::chrono::milliseconds(refusal),
                   [this, instance] { fleet_.SetStoreRefuses(instance, false); });
   }
-  loop_.RunAfter(kTargetEntryInterval, [this] { DisturbTargetEntries(); });
+  target_entry_timer_ = loop_.RunAfter(kTargetEntryInterval, [this] { DisturbTargetEntries(); });
 }
 
 void FaultInjector::RepairAfter(Duration duration, std::function<void()> repair) {
--- a/tools/soak/faults.h
+++ b/tools/soak/faults.h
@@ -54,7 +54,7 @@
   /// Makes the limited target name its limit, also after it was restarted.
   void NameLimit();
   /// Adds an odd entry to those of the targets, removes the entry of a target that leaves, or makes
-  /// the store turn one instance away, and schedules the next one.
+  /// the store turn one instance away, and schedules the next one until the end of InjectFaults().
   void DisturbTargetEntries();
   /// Sends one of a few requests that crash their targets to a random instance, and schedules the
   /// next one.
@@ -80,6 +80,7 @@
   std::mt19937_64 crashing_request_random_;
   /// Likewise for the entries of the targets.
   std::mt19937_64 target_entry_random_;
+  net::TimerId target_entry_timer_;
   std::ostream& history_;
   std::map<int, std::function<void()>> pending_repairs_;
   int next_repair_id_ = 0;
