--- a/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
+++ b/packages/fleet/include/dogwoodport/fleet/state/feed_reader.h
@@ -21,7 +21,7 @@
   Duration long_poll_wait{0};
   /// Time between the end of a read and the next one.
   Duration read_pause{0};
-  /// Age of the latest push from the coordinator at which the reader reads from the store itself.
+  /// Time without pushes from the coordinator after which the reader reads from the store itself.
   Duration push_timeout{0};
 };
 
@@ -99,8 +99,7 @@
   bool always_reads_ = false;
   Duration extra_pause_{0};
   bool reading_ = false;
-  /// Latest `verified_at` of a push.
-  TimePoint push_verified_at_{};
+  TimePoint last_push_at_{};
   TimePoint verified_at_{};
   TimePoint unavailable_since_{};
   std::uint32_t failures_ = 0;
--- a/packages/fleet/src/state/feed_reader.cc
+++ b/packages/fleet/src/state/feed_reader.cc
@@ -33,7 +33,7 @@
 void FeedReader::Start() { ReadNext(); }
 
 bool FeedReader::ReceivesPushes() const {
-  return !always_reads_ && loaded_ && loop_.now() - push_verified_at_ < settings_.push_timeout;
+  return !always_reads_ && loaded_ && loop_.now() - last_push_at_ < settings_.push_timeout;
 }
 
 void FeedReader::ScheduleNext(Duration pause) {
@@ -47,7 +47,7 @@
 void FeedReader::AcceptPush(std::uint64_t from, std::uint64_t end, TimePoint verified_at,
                             const std::vector<StoreRecord>& records) {
   if (!loaded_ || from > next_offset_) return;  // Gap: the next read from the store fills it.
-  push_verified_at_ = std::max(push_verified_at_, verified_at);
+  last_push_at_ = loop_.now();
   available_ = true;
   failures_ = 0;
   std::vector<StoreRecord> fresh;
@@ -77,7 +77,7 @@
 void FeedReader::ReadNext() {
   if (reading_) return;
   if (ReceivesPushes()) {
-    const Duration remaining = push_verified_at_ + settings_.push_timeout - loop_.now();
+    const Duration remaining = last_push_at_ + settings_.push_timeout - loop_.now();
     ScheduleNext(std::min(kPushCheckInterval, remaining));
     return;
   }
