--- a/packages/fleet/src/state/feed_reader.cc
+++ b/packages/fleet/src/state/feed_reader.cc
@@ -11,6 +11,7 @@
 constexpr Duration kMaxRetryDelay{400'000};
 /// Interval at which the reader checks whether pushes from the coordinator still arrive.
 constexpr Duration kPushCheckInterval{150'000};
+
 constexpr std::array<const char*, 2> kSourceNames = {"read", "push"};
 
 }  // namespace
--- a/tests/fleet/unit-store_contacts.cpp
+++ b/tests/fleet/unit-store_contacts.cpp
@@ -4,15 +4,16 @@
 #include <string>
 #include <vector>
 
-#include "dogwoodport/fleet/state/store_contacts.h"
+#include "dogwoodport/fleet/instance.h"
 
 namespace dogwoodport::fleet {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr Duration kMinOutage = milliseconds(1'600);
-constexpr Duration kRestoreTime = milliseconds(2'200);
+const InstanceSettings kSettings;
+const Duration kMinOutage = kSettings.min_store_outage;
+const Duration kRestoreTime = kSettings.entry_restore_time;
 
 TimePoint At(int ms) { return TimePoint(milliseconds(100'000 + ms)); }
 
@@ -73,8 +74,6 @@
 
  private:
   static constexpr Duration kStep = milliseconds(10);
-  static constexpr Duration kReadPause = milliseconds(600);
-  static constexpr Duration kPushTimeout = milliseconds(1'400);
   /// Time after a disturbance from which on a removal must not be doubted. The operators' rules
   /// bind after 3 s, and allow 2 s more until a removed target gets no requests; reading the
   /// removal takes up to 1 s of them.
@@ -137,7 +136,7 @@
 
   void Read(std::size_t i) {
     Member& member = members_[i];
-    member.next_read = now_ + kReadPause + Random(0, 20);
+    member.next_read = now_ + kSettings.targets_read_pause + Random(0, 20);
     const bool fails = !StoreIsUp() || now_ < member.refused_until || now_ < member.cut_until;
     if (fails) {
       member.next_read = now_ + Random(100, 1'000);
@@ -182,7 +181,8 @@
     for (std::size_t i = 0; i < members_.size(); ++i) {
       Member& member = members_[i];
       if (now_ < member.suspended_until) continue;
-      const bool pushed = i != coordinator_ && now_ - member.last_push_at < kPushTimeout;
+      const bool pushed =
+          i != coordinator_ && now_ - member.last_push_at < kSettings.targets_push_timeout;
       if (now_ >= member.next_read && !pushed) Read(i);
       if (now_ >= member.next_report) Report(i);
       Check(member);
