--- a/review/standins/standin.h
+++ b/review/standins/standin.h
@@ -476,8 +476,8 @@
   // Called for each grant that is taken, with the lock held.
   std::function<void(int first, int last)> on_granted;
   // If set, the answer to one release of keys at which the endpoint is at work is preceded by a
-  // second answer: a copy of the answer to the latest grant on the same connection, which arrives
-  // where the answer to the release is expected.
+  // second answer: a copy of the answer to the latest grant or release on the same connection, which
+  // arrives where the answer to the release is expected.
   std::atomic<bool> extra_answers{false};
 
   Endpoint(Store& store, Settings settings) : store_(store), settings_(std::move(settings)) {
@@ -599,17 +599,17 @@
 
   void Serve(Connection& connection) {
     Message request;
-    std::string grant_answer;  // The answer to the latest call, if that was a grant.
+    std::string call_answer;  // The answer to the latest request, if that was a grant or a release.
     while (connection.Read(request, 3600)) {
       const std::string path = request.Word(1);
-      if (path == "/release" && !grant_answer.empty() && IsAtWorkOn(request) &&
+      if (path == "/release" && !call_answer.empty() && IsAtWorkOn(request) &&
           extra_answers.exchange(false)) {
-        REVIEW_LOG("endpoint %s sends a second answer to an earlier grant, before its answer to %s",
+        REVIEW_LOG("endpoint %s sends a second answer to an earlier call, before its answer to %s",
                    settings_.id.c_str(), request.start.c_str());
         ++second_answers_;
-        if (!connection.Write(grant_answer)) return;
+        if (!connection.Write(call_answer)) return;
       }
-      grant_answer.clear();
+      call_answer.clear();
       ++answers_;
       std::string answer;
       if (path == "/health") {
@@ -618,9 +618,9 @@
                  !expected.empty() && expected != settings_.id) {
         answer = Refusal(421, request);
       } else if (path == "/grant") {
-        answer = grant_answer = Grant(request);
+        answer = call_answer = Grant(request);
       } else if (path == "/release") {
-        answer = Release(request);
+        answer = call_answer = Release(request);
       } else {
         answer = RunRequest(request);
       }
