--- a/review/standins/standin.h
+++ b/review/standins/standin.h
@@ -135,7 +135,7 @@
   }
 
   // Reads one message with a Content-Length. Returns false at the end, after a break or a time-out.
-  bool Read(Message& message, double timeout_s, bool is_head = false) {
+  bool Read(Message& message, double timeout_s) {
     const double end = Now() + timeout_s;
     std::size_t head = 0;
     while ((head = buffer_.find("\r\n\r\n")) == std::string::npos) {
@@ -153,7 +153,6 @@
     }
     buffer_.erase(0, head + 4);
     const std::size_t length = static_cast<std::size_t>(std::atoll(message.Get("Content-Length").c_str()));
-    if (is_head) return true;
     while (buffer_.size() < length) {
       if (!Fill(end)) {
         message.body = buffer_;
@@ -165,13 +164,6 @@
     return true;
   }
 
-  // Whether the peer has closed or reset the connection.
-  bool PeerGone() const {
-    char byte = 0;
-    const ssize_t n = recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-  }
-
  private:
   static std::string Trim(std::string text) {
     while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back()))) text.pop_back();
@@ -180,12 +172,11 @@
     return text.substr(at);
   }
 
+  // Appends received bytes to the buffer. Returns false at the end, after a break, or at `end`.
   bool Fill(double end) {
-    const double left = end - Now();
-    if (left <= 0) return false;
     pollfd p{fd_, POLLIN, 0};
-    const int ready = poll(&p, 1, static_cast<int>(left * 1000) + 1);
-    if (ready <= 0) return ready == 0 ? Now() < end && Fill(end) : false;
+    const int wait_ms = static_cast<int>(std::max(0.0, end - Now()) * 1000) + 1;
+    if (poll(&p, 1, wait_ms) <= 0) return false;
     char chunk[65536];
     const ssize_t n = recv(fd_, chunk, sizeof(chunk), 0);
     if (n <= 0) return false;
