--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
@@ -10,6 +10,10 @@
 /// safe and fences the previous coordinator. A range moves only after its holder has responded to a
 /// release, or after the maximum time for which it may still hold the range. Each move is recorded
 /// before it begins.
+///
+/// What a target holds follows from the grants that were sent to it, not from its entry in the
+/// store: an entry may show an incarnation long after the next one has taken the renewals that were
+/// meant for it.
 
 #include <functional>
 #include <map>
@@ -24,6 +28,7 @@
 #include "dogwoodport/fleet/ownership/key_planner.h"
 #include "dogwoodport/fleet/state/metadata_store.h"
 #include "dogwoodport/fleet/target_protocol.h"
+#include "dogwoodport/net/http_caller.h"
 
 namespace dogwoodport::fleet {
 
@@ -68,9 +73,9 @@
   const TargetDirectory* directory = nullptr;
   EventLog* log = nullptr;
   std::function<TimePoint()> now;
-  /// Calls a target. The callback receives no response if none arrived in time.
+  /// Calls a target.
   std::function<void(const std::string& address, const net::HttpRequest& request, Duration timeout,
-                     std::function<void(std::optional<net::HttpResponse>)>)>
+                     net::HttpCaller::Callback done)>
       call;
   /// Returns the names of the keyed services.
   std::function<std::vector<std::string>()> services;
@@ -132,9 +137,17 @@
   };
   /// State of the release of a range by its previous owner.
   struct ReleaseState {
+    /// Number of the move. A response to a release of an earlier move is ignored.
+    std::uint64_t move = 0;
+    /// Previous owner, as the table knows it. Its grants may also have been taken by a later
+    /// incarnation that the directory does not show yet.
+    TargetIncarnation holder;
     /// Fencing token of the previous owner's grants. A different token means a different move.
     std::uint64_t holder_token = 0;
-    bool call_in_flight = false;
+    /// Number of the release in flight; 0 if there is none.
+    std::uint64_t call = 0;
+    /// Incarnation to which the latest release was sent.
+    std::optional<std::uint64_t> asked_incarnation;
     /// Whether the previous owner has confirmed the release.
     bool release_confirmed = false;
     /// Whether the previous owner can no longer hold the range, so that the new owner may be
@@ -142,16 +155,19 @@
     bool released = false;
     /// Data from the response to the release, passed on with the grant to the new owner.
     std::string handover;
-    /// Time from which delayed grants of earlier coordinators can no longer take effect.
-    TimePoint earlier_grants_done_at{};
     /// Upper bound of the time of this coordinator's last grant to the previous owner.
     TimePoint last_grant_at{};
-    /// Whether the previous owner has not confirmed this coordinator's token. An earlier
-    /// coordinator may then have renewed its grant.
-    bool token_unconfirmed = false;
+    /// Whether the previous owner has confirmed this coordinator's token.
+    bool token_confirmed = false;
     TimePoint next_call_at{};
   };
 
+  /// A release call.
+  struct SentRelease {
+    std::uint64_t move = 0;
+    std::uint64_t call = 0;
+  };
+
   void StartLeading(KeyTable table, std::uint64_t offset, TimePoint sent_at);
   void ReadBeforeTakeOver();
   void AppendTakeOver(KeyTable table, std::uint64_t feed_end);
@@ -179,11 +195,19 @@
   void RenewRanges();
   void ContinueMove(const std::string& service, KeyRange& range);
   void SendRelease(const std::string& service, const KeyRange& range, ReleaseState& release);
+  void OnReleaseResponse(const RangeId& id, const SentRelease& sent,
+                         const net::CallOutcome& outcome);
   void SendGrant(const std::string& service, const KeyRange& range, const std::string& handover);
   void OnGrantResponse(const RangeId& id, const std::string& owner, std::uint64_t token,
-                       const std::optional<net::HttpResponse>& response);
-  ReleaseState MakeReleaseState(const KeyRange& range, bool confirmed) const;
-  bool IsFree(const KeyRange& range, const ReleaseState& release) const;
+                       const net::CallOutcome& outcome);
+  ReleaseState MakeReleaseState(const KeyRange& range, bool token_confirmed);
+  bool IsFree(const ReleaseState& release) const;
+  /// Whether the previous owner refuses grants of earlier coordinators. A new incarnation has not
+  /// seen the token that the earlier one confirmed.
+  bool RefusesEarlierGrants(const ReleaseState& release) const;
+  /// Returns the time from which grants of earlier coordinators can no longer take effect or be in
+  /// effect at the previous owner.
+  TimePoint EarlierGrantsEndAt(const ReleaseState& release) const;
   /// Whether no grant to a target is in flight or may still take effect. Such a grant would undo a
   /// release that arrives before it.
   bool HasNoPendingGrant(const std::string& target) const;
@@ -213,6 +237,8 @@
   bool confirming_ = false;
   std::map<RangeId, GrantState> grant_states_;
   std::map<RangeId, ReleaseState> release_states_;
+  std::uint64_t last_move_ = 0;
+  std::uint64_t last_release_call_ = 0;
   /// Number of grants in flight, by target.
   std::map<std::string, int> grants_in_flight_;
   /// Time until which a grant without a response may take effect and hold keys, by target.
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -135,7 +135,7 @@
   // process was suspended.
   ports.now = [this] { return loop_.Refresh(); };
   ports.call = [this](const std::string& address, const net::HttpRequest& request, Duration timeout,
-                      std::function<void(std::optional<net::HttpResponse>)> done) {
+                      net::HttpCaller::Callback done) {
     caller_.Call(address, request, timeout, std::move(done));
   };
   ports.services = [this] {
--- a/packages/fleet/src/ownership/key_coordinator_moves.cc
+++ b/packages/fleet/src/ownership/key_coordinator_moves.cc
@@ -22,30 +22,32 @@
 }
 
 KeyCoordinator::ReleaseState KeyCoordinator::MakeReleaseState(const KeyRange& range,
-                                                              bool confirmed) const {
-  const TimePoint now = ports_.now();
+                                                              bool token_confirmed) {
   ReleaseState release;
+  release.move = ++last_move_;
+  release.holder = {range.previous, range.previous_incarnation};
   release.holder_token = range.previous_token;
-  release.last_grant_at = now;
-  // A target that has confirmed this coordinator's token refuses older grants.
-  release.token_unconfirmed = !confirmed;
-  release.earlier_grants_done_at = confirmed ? now : took_over_at_ + MaxHoldTime();
+  release.last_grant_at = ports_.now();
+  release.token_confirmed = token_confirmed;
   return release;
 }
 
+bool KeyCoordinator::RefusesEarlierGrants(const ReleaseState& release) const {
+  if (!release.token_confirmed) return false;
+  const Target* const current = ports_.directory->Find(release.holder.id);
+  return current == nullptr || current->entry.incarnation == release.holder.incarnation;
+}
+
+TimePoint KeyCoordinator::EarlierGrantsEndAt(const ReleaseState& release) const {
+  return RefusesEarlierGrants(release) ? TimePoint{} : sole_leader_from_ + MaxHoldTime();
+}
+
 TimePoint KeyCoordinator::FreeAt(const ReleaseState& release) const {
-  const TimePoint last_grant = release.token_unconfirmed
-                                   ? std::max(release.last_grant_at, sole_leader_from_)
-                                   : release.last_grant_at;
-  return last_grant + MaxHoldTime();
+  return std::max(release.last_grant_at + MaxHoldTime(), EarlierGrantsEndAt(release));
 }
 
-bool KeyCoordinator::IsFree(const KeyRange& range, const ReleaseState& release) const {
-  const TimePoint now = ports_.now();
-  if (now >= FreeAt(release)) return true;
-  const Target* const previous = ports_.directory->Find(range.previous);
-  if (previous != nullptr && previous->entry.incarnation != range.previous_incarnation) return true;
-  return release.release_confirmed;
+bool KeyCoordinator::IsFree(const ReleaseState& release) const {
+  return release.release_confirmed || ports_.now() >= FreeAt(release);
 }
 
 bool KeyCoordinator::HasNoPendingGrant(const std::string& target) const {
@@ -90,14 +92,15 @@
   if (release.holder_token != range.previous_token) {
     release = MakeReleaseState(range, false);
   }
-  const Target* const previous = ports_.directory->Find(range.previous);
-  if (!release.released && IsFree(range, release)) {
+  if (!release.released && IsFree(release)) {
     release.released = true;
     Log(LogLevel::kInfo, "keys_free",
         {{"service", service},
          {"first", range.first},
          {"last", range.last},
          {"target", range.previous},
+         {"incarnation", range.previous_incarnation},
+         {"asked_incarnation", release.asked_incarnation.value_or(0)},
          {"answered", release.release_confirmed}});
   }
   if (release.released) {
@@ -110,9 +113,13 @@
     if (!state.call_in_flight && now >= state.renew_at) SendGrant(service, range, release.handover);
     return;
   }
-  const bool may_release = now >= std::max(release.next_call_at, release.earlier_grants_done_at) &&
-                           HasNoPendingGrant(range.previous);
-  if (previous != nullptr && !release.call_in_flight && !release.release_confirmed && may_release) {
+  const Target* const previous = ports_.directory->Find(range.previous);
+  if (previous == nullptr) return;
+  // A restarted target is asked at once. The release sent to its earlier incarnation may never be
+  // answered.
+  const bool is_due = release.asked_incarnation != previous->entry.incarnation ||
+                      (release.call == 0 && now >= release.next_call_at);
+  if (is_due && now >= EarlierGrantsEndAt(release) && HasNoPendingGrant(range.previous)) {
     SendRelease(service, range, release);
   }
 }
@@ -120,7 +127,9 @@
 void KeyCoordinator::SendRelease(const std::string& service, const KeyRange& range,
                                  ReleaseState& release) {
   const Target* const previous = ports_.directory->Find(range.previous);
-  release.call_in_flight = true;
+  const SentRelease sent{release.move, ++last_release_call_};
+  release.call = sent.call;
+  release.asked_incarnation = previous->entry.incarnation;
   Grant grant;
   grant.first = range.first;
   grant.last = range.last;
@@ -130,19 +139,27 @@
   // request.
   const Duration timeout = std::max(settings_.call_timeout, FreeAt(release) - ports_.now());
   ports_.call(previous->entry.address, ports_.protocol->MakeRelease(previous->entry, grant),
-              timeout,
-              Guarded(alive_, term_, [this, id](const std::optional<net::HttpResponse>& response) {
-                const auto it = release_states_.find(id);
-                if (it == release_states_.end()) return;
-                it->second.call_in_flight = false;
-                it->second.next_call_at = ports_.now() + kRetryInterval;
-                if (!response || response->status != net::status::kOk) return;
-                it->second.release_confirmed = true;
-                it->second.handover = ports_.protocol->ReadHandover(*response);
-                RenewRanges();
+              timeout, Guarded(alive_, term_, [this, id, sent](const net::CallOutcome& outcome) {
+                OnReleaseResponse(id, sent, outcome);
               }));
 }
 
+void KeyCoordinator::OnReleaseResponse(const RangeId& id, const SentRelease& sent,
+                                       const net::CallOutcome& outcome) {
+  const auto it = release_states_.find(id);
+  if (it == release_states_.end() || it->second.move != sent.move) return;
+  ReleaseState& release = it->second;
+  if (release.call == sent.call) {
+    release.call = 0;
+    release.next_call_at = ports_.now() + kRetryInterval;
+  }
+  const net::HttpResponse* const response = net::ResponseOf(outcome);
+  if (response == nullptr || response->status != net::status::kOk) return;
+  release.release_confirmed = true;
+  release.handover = ports_.protocol->ReadHandover(*response);
+  RenewRanges();
+}
+
 void KeyCoordinator::SendGrant(const std::string& service, const KeyRange& range,
                                const std::string& handover) {
   const RangeId id(service, range.first);
@@ -157,17 +174,17 @@
   ports_.call(target->entry.address, ports_.protocol->MakeGrant(target->entry, grant),
               settings_.call_timeout,
               Guarded(alive_, term_,
-                      [this, id, owner = range.owner, token = range.fencing_token](
-                          const std::optional<net::HttpResponse>& response) {
-                        OnGrantResponse(id, owner, token, response);
+                      [this, id, owner = range.owner,
+                       token = range.fencing_token](const net::CallOutcome& outcome) {
+                        OnGrantResponse(id, owner, token, outcome);
                       }));
 }
 
 void KeyCoordinator::OnGrantResponse(const RangeId& id, const std::string& owner,
-                                     std::uint64_t token,
-                                     const std::optional<net::HttpResponse>& response) {
+                                     std::uint64_t token, const net::CallOutcome& outcome) {
   --grants_in_flight_[owner];
-  if (!response) {
+  const net::HttpResponse* const response = net::ResponseOf(outcome);
+  if (response == nullptr && std::get<net::NoResponse>(outcome) == net::NoResponse::kUnanswered) {
     // The grant may still be applied, even after a release.
     unanswered_grant_until_[owner] = ports_.now() + MaxHoldTime();
   }
@@ -175,7 +192,7 @@
   if (it == grant_states_.end() || it->second.token != token) return;
   GrantState& state = it->second;
   state.call_in_flight = false;
-  if (!response) return;
+  if (response == nullptr) return;
   if (response->status == net::status::kConflict) {
     // The target has seen a higher token, so this instance may have been replaced as coordinator.
     Log(LogLevel::kWarning, "grant_refused", {{"service", id.first}, {"first", id.second}});
--- a/packages/net/include/dogwoodport/net/http_caller.h
+++ b/packages/net/include/dogwoodport/net/http_caller.h
@@ -4,18 +4,32 @@
 /// Single HTTP calls with a timeout over pooled connections.
 
 #include <functional>
-#include <optional>
 #include <utility>
+#include <variant>
 
 #include "dogwoodport/net/connection_pool.h"
 
 namespace dogwoodport::net {
 
+/// Why a call has no response.
+enum class NoResponse {
+  kNotSent,     ///< No byte of the request was sent, so it can have no effect.
+  kUnanswered,  ///< The request may have arrived, and may take effect later.
+};
+
+/// Outcome of a call.
+using CallOutcome = std::variant<HttpResponse, NoResponse>;
+
+/// Returns the response of a call, or nullptr if there is none.
+inline const HttpResponse* ResponseOf(const CallOutcome& outcome) noexcept {
+  return std::get_if<HttpResponse>(&outcome);
+}
+
 class HttpCaller {
  public:
-  /// Receives the response, or nothing if the call failed or timed out. Never invoked from within
-  /// `Call`.
-  using Callback = std::function<void(std::optional<HttpResponse>)>;
+  /// Receives the outcome of a call, which has no response if it failed or timed out. Never invoked
+  /// from within `Call`.
+  using Callback = std::function<void(const CallOutcome&)>;
 
   HttpCaller(EventLoop& loop, PoolLimits limits) : loop_(loop), pool_(loop, std::move(limits)) {}
 
--- a/packages/net/src/http_caller.cc
+++ b/packages/net/src/http_caller.cc
@@ -14,21 +14,26 @@
   void Start(std::string_view bytes, bool is_head_request, Duration timeout) {
     timer_ = loop_.RunAfter(timeout, [this] {
       timer_ = TimerId{};
+      const NoResponse reason = ReasonForNoResponse();
       connection_->Abort();
-      Complete(std::nullopt);
+      Complete(reason);
     });
     connection_->Send(bytes, is_head_request, this);
   }
 
   void OnResponse(HttpResponse response) override { Complete(std::move(response)); }
-  void OnFailure(CallFailure /*failure*/) override { Complete(std::nullopt); }
+  void OnFailure(CallFailure /*failure*/) override { Complete(ReasonForNoResponse()); }
 
  private:
-  void Complete(std::optional<HttpResponse> response) {
+  NoResponse ReasonForNoResponse() const noexcept {
+    return connection_->any_sent() ? NoResponse::kUnanswered : NoResponse::kNotSent;
+  }
+
+  void Complete(const CallOutcome& outcome) {
     loop_.Cancel(timer_);
     const HttpCaller::Callback done = std::move(done_);
     delete this;
-    done(std::move(response));
+    done(outcome);
   }
 
   EventLoop& loop_;
--- a/tests/fleet/fleet_fakes.h
+++ b/tests/fleet/fleet_fakes.h
@@ -84,6 +84,9 @@
     log.records.clear();
   }
 
+  /// Answers a call that did not reach the store.
+  void Refuse(std::function<void()> response) { Respond(std::move(response)); }
+
   /// Delivers the pending responses. Returns whether there were any.
   bool Deliver() {
     if (pending_responses_.empty()) return false;
--- a/tests/fleet/unit-key_coordinator.cpp
+++ b/tests/fleet/unit-key_coordinator.cpp
@@ -53,10 +53,15 @@
 
 /// A target that enforces fencing tokens and leases, and whose clock runs slow.
 struct ModelTarget {
+  /// The entry that the target writes. The directory may show an older one.
   TargetEntry entry;
   bool up = true;
   bool reachable = true;
-  /// By checked key: highest token seen, and end of the lease.
+  /// Side of a partition of the network; the store is on side 0.
+  int side = 0;
+  /// Duration of the work in progress when a release arrives.
+  Duration work{0};
+  /// By checked key: highest token seen, and end of the lease or of the work on the key.
   std::vector<std::uint64_t> seen = std::vector<std::uint64_t>(kSamples, 0);
   std::vector<TimePoint> until = std::vector<TimePoint>(kSamples, TimePoint{});
 
@@ -65,11 +70,65 @@
         std::count_if(until.begin(), until.end(), [now](TimePoint it) { return it > now; }));
   }
 
-  void Restart(std::uint64_t incarnation) {
-    entry.incarnation = incarnation;
+  /// Starts again under the same id. The directory learns of it from `OwnershipWorld::Register`.
+  void Restart() {
+    up = true;
+    ++entry.incarnation;
+    entry.sequence = 0;
     seen.assign(kSamples, 0);
     until.assign(kSamples, TimePoint{});
   }
+
+  void Crash() {
+    up = false;
+    until.assign(kSamples, TimePoint{});
+  }
+};
+
+/// The store as one coordinator reaches it.
+class PartitionedStore : public MetadataStore {
+ public:
+  explicit PartitionedStore(MemoryStore& store) : store_(store) {}
+
+  void Read(Feed feed, std::uint64_t from, Duration wait,
+            std::function<void(ReadOutcome)> done) override {
+    if (reachable) {
+      store_.Read(feed, from, wait, std::move(done));
+    } else {
+      store_.Refuse([done] { done(StoreUnavailable{"cut off"}); });
+    }
+  }
+  void ReadNewest(Feed feed, std::function<void(ReadOutcome)> done) override {
+    if (reachable) {
+      store_.ReadNewest(feed, std::move(done));
+    } else {
+      store_.Refuse([done] { done(StoreUnavailable{"cut off"}); });
+    }
+  }
+  void Append(Feed feed, const std::string& key, const std::string& value,
+              std::optional<std::uint64_t> expected_end,
+              std::function<void(AppendOutcome)> done) override {
+    if (!reachable) {
+      store_.Refuse([done] { done(StoreUnavailable{"cut off"}); });
+      return;
+    }
+    if (cut_off_after_append) {
+      reachable = false;
+      store_.Append(feed, key, value, expected_end, [done](const AppendOutcome&) {
+        done(StoreUnavailable{"the response was lost"});
+      });
+      return;
+    }
+    store_.Append(feed, key, value, expected_end, std::move(done));
+  }
+  std::uint64_t calls() const noexcept override { return store_.calls(); }
+
+  bool reachable = true;
+  /// Whether the next append is executed, but its response and all later calls are lost.
+  bool cut_off_after_append = false;
+
+ private:
+  MemoryStore& store_;
 };
 
 /// Simulates targets, a store and several coordinators in virtual time, with faults drawn from a
@@ -80,9 +139,14 @@
     for (std::size_t i = 0; i < targets; ++i) AddTarget("t" + std::to_string(i));
     for (std::size_t i = 0; i < coordinators; ++i) {
       alive.push_back(true);
+      sides.push_back(0);
+      stores.push_back(std::make_unique<PartitionedStore>(store));
+      directories.push_back(std::make_unique<TargetDirectory>());
+      applied_entries.push_back(0);
       nodes.push_back(std::make_unique<KeyCoordinator>(Ports(i), CoordinatorSettings{},
                                                        "c" + std::to_string(i)));
     }
+    UpdateDirectories();
   }
 
   void AddTarget(const std::string& id) {
@@ -92,19 +156,18 @@
     target.entry.service = "s";
     target.entry.incarnation = 1;
     models[id] = target;
-    directory.Apply(target.entry, now);
+    ApplyEntry(target.entry);
   }
 
   CoordinatorPorts Ports(std::size_t i) {
     CoordinatorPorts ports;
-    ports.store = &store;
+    ports.store = stores[i].get();
     ports.protocol = &protocol;
-    ports.directory = &directory;
+    ports.directory = directories[i].get();
     ports.log = &log;
     ports.now = [this] { return now; };
     ports.call = [this, i](const std::string& address, const net::HttpRequest& request,
-                           Duration timeout,
-                           std::function<void(std::optional<net::HttpResponse>)> done) {
+                           Duration timeout, net::HttpCaller::Callback done) {
       Call(i, address, request, timeout, std::move(done));
     };
     ports.services = [] { return std::vector<std::string>{"s"}; };
@@ -114,7 +177,8 @@
     ports.may_grow = ports.may_own;
     ports.others_follow = [this, i] {
       for (std::size_t other = 0; other < nodes.size(); ++other) {
-        if (other != i && alive[other] && nodes[other]->leading()) return false;
+        if (other == i || !alive[other]) continue;
+        if (nodes[other]->leading() || sides[other] != sides[i]) return false;
       }
       return followers_confirmed;
     };
@@ -123,7 +187,18 @@
   }
 
   void Call(std::size_t node, const std::string& address, const net::HttpRequest& request,
-            Duration timeout, std::function<void(std::optional<net::HttpResponse>)> done) {
+            Duration timeout, const net::HttpCaller::Callback& done) {
+    // A call has one outcome; a response after the time-out is discarded.
+    const auto end_call = [this, node, done,
+                           ended = std::make_shared<bool>(false)](const net::CallOutcome& outcome) {
+      if (!std::exchange(*ended, true) && alive[node]) done(outcome);
+    };
+    const ModelTarget& target = models[address];
+    const bool connected = target.reachable && target.side == sides[node] && alive[node];
+    if (connected && !target.up) {
+      events.emplace(now + Duration{1'000}, [end_call] { end_call(net::NoResponse::kNotSent); });
+      return;
+    }
     const auto delay = [this](int max_ms) {
       return Duration(std::uniform_int_distribution<int>(1, max_ms)(random) * 1000);
     };
@@ -132,39 +207,44 @@
     const bool delayed = Chance(delay_probability);
     const TimePoint arrives = now + delay(30);
     const TimePoint applied = delayed ? arrives + delay(6'000) : arrives;
-    const bool is_delivered = !lost && models[address].reachable && alive[node];
-    if (is_delivered) {
-      const std::uint64_t incarnation = models[address].entry.incarnation;
-      events.emplace(applied, [this, address, request, arrives, done, response_lost, delayed, node,
-                               timeout, incarnation, sent = now] {
-        // A restart of the target discards its unfinished calls.
-        if (models[address].entry.incarnation != incarnation) return;
-        const std::optional<net::HttpResponse> response = Apply(address, request, arrives);
-        const bool in_time = now - sent < timeout;
-        if (response && in_time && !response_lost && !delayed && alive[node]) done(response);
-      });
-    }
-    // A lost or delayed response is reported as a time-out and not delivered later: the coordinator
-    // expects one callback per call and discards a second one only if its state no longer matches.
-    if (!is_delivered || response_lost || delayed) {
-      events.emplace(now + timeout, [done, this, node] {
-        if (alive[node]) done(std::nullopt);
+    const bool is_delivered = connected && !lost;
+    const bool known_unsent = !is_delivered && (tie_breaker() & 1) == 0;
+    events.emplace(now + timeout, [end_call, known_unsent] {
+      end_call(known_unsent ? net::NoResponse::kNotSent : net::NoResponse::kUnanswered);
+    });
+    if (!is_delivered) return;
+    const bool answers = !response_lost && !delayed;
+    events.emplace(applied, [this, address, request, arrives, answers, end_call,
+                             incarnation = target.entry.incarnation] {
+      // The end of a process discards its unfinished calls and resets their connections.
+      const ModelTarget& it = models[address];
+      const auto same_process = [&it, incarnation] {
+        return it.up && it.entry.incarnation == incarnation;
+      };
+      if (!same_process()) return end_call(net::NoResponse::kUnanswered);
+      const net::HttpResponse response = Apply(address, request, arrives);
+      if (!answers) return;
+      const Duration work = request.target == "release" ? it.work : Duration{0};
+      events.emplace(now + work, [response, same_process, end_call] {
+        same_process() ? end_call(response) : end_call(net::NoResponse::kUnanswered);
       });
-    }
+    });
   }
 
-  std::optional<net::HttpResponse> Apply(const std::string& address,
-                                         const net::HttpRequest& request, TimePoint arrived) {
+  net::HttpResponse Apply(const std::string& address, const net::HttpRequest& request,
+                          TimePoint arrived) {
     ModelTarget& target = models[address];
     net::HttpResponse response;
     response.status = 200;
-    if (!target.up) return std::nullopt;
     const auto body = nlohmann::json::parse(request.body);
     const std::size_t first = (body[0].get<std::size_t>() + kSampleDistance - 1) / kSampleDistance;
     const std::size_t end = body[1].get<std::size_t>() / kSampleDistance + 1;
     const auto token = body[2].get<std::uint64_t>();
     if (request.target == "release") {
-      for (std::size_t i = first; i < end; ++i) target.until[i] = TimePoint{};
+      for (std::size_t i = first; i < end; ++i) {
+        // Work may go on until the end of the lease.
+        target.until[i] = std::min(target.until[i], now + target.work);
+      }
       response.body = "proof";
       return response;
     }
@@ -223,6 +303,38 @@
     }
   }
 
+  /// Changes the entries in the store. Coordinators that reach it see the change at once, the
+  /// others once they reach it again.
+  void Expire(const std::string& id) {
+    entry_changes.emplace_back([this, id](TargetDirectory& it) { it.Remove(id, now, false); });
+    UpdateDirectories();
+  }
+  void ApplyEntry(const TargetEntry& entry) {
+    entry_changes.emplace_back([this, entry](TargetDirectory& it) { it.Apply(entry, now); });
+    UpdateDirectories();
+  }
+  /// Writes the current entry of a target.
+  void Register(const std::string& id) {
+    ++models[id].entry.sequence;
+    ApplyEntry(models[id].entry);
+  }
+  void UpdateDirectories() {
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (!stores[i]->reachable) continue;
+      for (std::size_t& n = applied_entries[i]; n < entry_changes.size(); ++n) {
+        entry_changes[n](*directories[i]);
+      }
+    }
+  }
+
+  /// Partitions the network, or heals it with side 0.
+  void SetSide(std::size_t node, int side) {
+    sides[node] = side;
+    stores[node]->reachable = side == 0;
+    stores[node]->cut_off_after_append = false;
+    UpdateDirectories();
+  }
+
   void MakeCoordinator(std::size_t i) {
     nodes[i]->TakeOver();
     Run(Duration{200'000});
@@ -230,14 +342,21 @@
 
   TimePoint now{Duration{1'000'000'000}};
   std::mt19937_64 random;
+  /// Separate from `random`, so that the faults of a seed do not depend on it.
+  std::mt19937_64 tie_breaker;
   MemoryStore store;
   PlainProtocol protocol;
   CountingLog log;
-  TargetDirectory directory;
+  std::vector<std::function<void(TargetDirectory&)>> entry_changes;
+  /// By coordinator: its directory, and the number of entry changes that it has applied.
+  std::vector<std::unique_ptr<TargetDirectory>> directories;
+  std::vector<std::size_t> applied_entries;
   BucketRates load = BucketRates(kBucketCount, 0.01);
   std::map<std::string, ModelTarget> models;
   std::multimap<TimePoint, std::function<void()>> events;
   std::vector<bool> alive;
+  std::vector<int> sides;
+  std::vector<std::unique_ptr<PartitionedStore>> stores;
   std::vector<std::unique_ptr<KeyCoordinator>> nodes;
   double loss_probability = 0;
   double delay_probability = 0;
@@ -303,7 +422,7 @@
   world.MakeCoordinator(0);
   world.Run(Duration{3'000'000});
   world.models["t1"].reachable = false;
-  world.directory.Remove("t1", world.now, false);
+  world.Expire("t1");
   world.Run(Duration{9'000'000});
   CHECK(world.HeldShare() == 1);
   CHECK(world.max_holders == 1);
@@ -318,7 +437,7 @@
   world.Run(Duration{3'000'000});
   world.alive[0] = false;
   world.models["t1"].reachable = false;
-  world.directory.Remove("t1", world.now, false);
+  world.Expire("t1");
   world.Run(Duration{1'000'000});
   world.MakeCoordinator(1);
   // Bounds: the recovery time that operators expect, or the maximum hold time if no other instance
@@ -340,6 +459,173 @@
   CHECK(world.HeldShare() == 1);
 }
 
+/// Time until the entry of a target that stopped sending heartbeats expires.
+constexpr Duration kEntryExpiry{2'600'000};
+
+/// Entry of "t1" at the time its keys start to move, after it has restarted.
+enum class EntryState { kExpired, kOfEarlierIncarnation };
+
+struct RestartCase {
+  const char* description;
+  EntryState entry;
+  /// Whether another instance becomes the coordinator before the restarted target registers.
+  bool coordinator_changes;
+  /// Probability that a call or its response is lost.
+  double loss;
+};
+
+TEST_CASE("renewals that a restarted target took before it registered count as held",
+          "[key_coordinator][restarted]") {
+  const auto test_case = GENERATE(values<RestartCase>({
+      {"its entry had expired", EntryState::kExpired, false, 0},
+      {"its entry had expired, with lost calls", EntryState::kExpired, false, 0.3},
+      {"its entry had expired, with another coordinator", EntryState::kExpired, true, 0},
+      {"part of its keys moved for balance", EntryState::kOfEarlierIncarnation, false, 0.3},
+      {"part of its keys moved, with another coordinator", EntryState::kOfEarlierIncarnation, true,
+       0.3},
+  }));
+  const auto seed = GENERATE(range(1, 6));
+  INFO(test_case.description << ", seed " << seed);
+  OwnershipWorld world(5, 2, static_cast<std::uint64_t>(seed));
+  world.followers_confirmed = true;
+  world.MakeCoordinator(0);
+  world.Run(Duration{4'000'000});
+  ModelTarget& target = world.models["t1"];
+  target.Crash();
+  world.Run(Duration{500'000});
+  target.Restart();
+  // The renewals that were meant for the earlier incarnation.
+  world.Run(kEntryExpiry - Duration{500'000});
+  REQUIRE(target.Holds(world.now) > 0);
+  if (test_case.entry == EntryState::kExpired) {
+    world.Expire("t1");
+  } else {
+    // t1 gets a new first half of its keys as the hottest ones, so that a piece of them moves.
+    for (std::size_t i = kBucketCount / 5; i < kBucketCount * 3 / 10; ++i) world.load[i] += 0.2;
+  }
+  world.loss_probability = test_case.loss;
+  world.Run(Duration{1'300'000});
+  if (test_case.coordinator_changes) {
+    world.alive[0] = false;
+    world.Run(Duration{300'000});
+    world.MakeCoordinator(1);
+    world.Run(Duration{300'000});
+  }
+  world.Register("t1");
+  world.Run(Duration{9'000'000});
+  CHECK(world.max_holders == 1);
+  world.loss_probability = 0;
+  world.Run(Duration{16'000'000});
+  CHECK(world.HeldShare() == 1);
+  CHECK(world.max_holders == 1);
+}
+
+TEST_CASE("an entry with another incarnation does not end the work of a target that drains",
+          "[key_coordinator][restarted]") {
+  OwnershipWorld world(5, 1, 1);
+  world.followers_confirmed = true;
+  world.MakeCoordinator(0);
+  world.Run(Duration{4'000'000});
+  ModelTarget& target = world.models["t1"];
+  target.work = Duration{1'500'000};
+  target.entry.phase = TargetPhase::kDraining;
+  world.Register("t1");
+  world.Run(Duration{1'200'000});
+  // Written by another writer.
+  TargetEntry entry = target.entry;
+  entry.incarnation = 9;
+  world.ApplyEntry(entry);
+  world.Run(Duration{4'000'000});
+  CHECK(world.max_holders == 1);
+  CHECK(world.HeldShare() == 1);
+}
+
+TEST_CASE("keys of a target that crashed and returns are granted to others at once",
+          "[key_coordinator][restarted]") {
+  const auto expires = GENERATE(true, false);
+  INFO("the entry expires: " << expires);
+  OwnershipWorld world(5, 1, 1);
+  world.followers_confirmed = true;
+  world.MakeCoordinator(0);
+  world.Run(Duration{4'000'000});
+  ModelTarget& target = world.models["t1"];
+  if (expires) {
+    target.Crash();
+    world.Run(kEntryExpiry);
+    world.Expire("t1");
+    world.Run(Duration{1'300'000});
+  } else {
+    // It crashes while it completes its work after a release.
+    target.work = Duration{3'000'000};
+    target.entry.phase = TargetPhase::kDraining;
+    world.Register("t1");
+    world.Run(Duration{1'300'000});
+    target.Crash();
+    world.Run(Duration{500'000});
+  }
+  CHECK(world.HeldShare() < 1);
+  target.work = Duration{0};
+  target.Restart();
+  world.Register("t1");
+  world.Run(Duration{400'000});
+  CHECK(world.HeldShare() == 1);
+  CHECK(world.max_holders == 1);
+}
+
+TEST_CASE("a cut-off coordinator that renews grants is waited for before inherited keys move",
+          "[key_coordinator][restarted]") {
+  const auto cut = GENERATE(Duration{6'500'000}, Duration{7'700'000}, Duration{8'300'000});
+  INFO("cut off for " << cut.count() << " us");
+  OwnershipWorld world(5, 2, 1);
+  world.followers_confirmed = true;
+  world.MakeCoordinator(0);
+  world.Run(Duration{4'000'000});
+  // The coordinator and t1 are cut off while a move of t1's keys is recorded. The coordinator does
+  // not learn that it is, and renews the grants.
+  ModelTarget& target = world.models["t1"];
+  world.stores[0]->cut_off_after_append = true;
+  for (std::size_t i = kBucketCount / 5; i < kBucketCount * 3 / 10; ++i) world.load[i] += 0.2;
+  while (world.stores[0]->reachable) world.Run(kStep);
+  world.sides[0] = 1;
+  target.side = 1;
+  const TimePoint healed_at = world.now + cut;
+  world.Run(Duration{1'300'000});
+  world.MakeCoordinator(1);
+  world.Run(healed_at - world.now);
+  world.SetSide(0, 0);
+  target.side = 0;
+  world.Run(Duration{12'000'000});
+  CHECK(world.max_holders == 1);
+  CHECK(world.HeldShare() == 1);
+}
+
+TEST_CASE("a restarted target is not taken to refuse the grants of an earlier coordinator",
+          "[key_coordinator][restarted]") {
+  OwnershipWorld world(5, 2, 1);
+  world.MakeCoordinator(0);
+  world.Run(Duration{4'000'000});
+  // The coordinator loses the store and does not hear of its successor.
+  world.stores[0]->reachable = false;
+  world.Run(Duration{1'300'000});
+  world.MakeCoordinator(1);
+  world.Run(Duration{1'200'000});
+  // t1 confirms the token of the successor and restarts before it has released its keys.
+  ModelTarget& target = world.models["t1"];
+  target.work = Duration{5'000'000};
+  target.entry.phase = TargetPhase::kDraining;
+  world.Register("t1");
+  world.Run(Duration{1'200'000});
+  target.Crash();
+  target.Restart();
+  target.work = Duration{0};
+  world.Run(CoordinatorSettings{}.renewal_interval);
+  REQUIRE(target.Holds(world.now) > 0);
+  world.Register("t1");
+  world.Run(Duration{15'000'000});
+  CHECK(world.max_holders == 1);
+  CHECK(world.HeldShare() == 1);
+}
+
 /// Injects one random fault or repair.
 void InjectFault(OwnershipWorld& world) {
   const auto pick = [&](int n) {
@@ -349,18 +635,18 @@
   ModelTarget& target = world.models[id];
   switch (pick(9)) {
     case 0:  // The target restarts with the same id.
-      target.Restart(target.entry.incarnation + 1);
-      world.directory.Apply(target.entry, world.now);
+      target.Restart();
+      world.Register(id);
       break;
     case 1:
       target.reachable = !target.reachable;
       break;
     case 2:  // The entry of a running target expires.
-      world.directory.Remove(id, world.now, false);
+      world.Expire(id);
       break;
     case 3:
       ++target.entry.sequence;
-      world.directory.Apply(target.entry, world.now);
+      world.ApplyEntry(target.entry);
       break;
     case 4:
       world.store.mode = static_cast<MemoryStore::Mode>(pick(3));
@@ -388,6 +674,78 @@
   }
 }
 
+/// Injects one random fault or repair in which what a target holds differs from its entry, or in
+/// which a coordinator does not know that it has been replaced.
+void InjectRestartFault(OwnershipWorld& world) {
+  const auto pick = [&](int n) {
+    return std::uniform_int_distribution<int>(0, n - 1)(world.random);
+  };
+  const std::string id = "t" + std::to_string(pick(static_cast<int>(world.models.size())));
+  const auto node = static_cast<std::size_t>(pick(static_cast<int>(world.nodes.size())));
+  ModelTarget& target = world.models[id];
+  const bool reaches_store = target.up && target.side == 0;
+  switch (pick(10)) {
+    case 0:
+      target.Crash();
+      break;
+    case 1:
+    case 2:  // The target restarts, but its entry does not change yet.
+      target.Restart();
+      break;
+    case 3:
+      if (reaches_store) world.Register(id);
+      break;
+    case 4:
+      world.Expire(id);
+      break;
+    case 5: {  // Another writer replaces the entry of the target.
+      TargetEntry entry = target.entry;
+      entry.incarnation += 100'000;
+      world.ApplyEntry(entry);
+      world.Expire(id);
+      if (reaches_store) world.Register(id);
+      break;
+    }
+    case 6:
+      target.side = 1 - target.side;
+      break;
+    case 7:
+      world.SetSide(node, 1 - world.sides[node]);
+      break;
+    case 8:
+      world.stores[node]->cut_off_after_append = world.sides[node] == 0;
+      world.sides[node] = 1;
+      break;
+    default:  // The process of a coordinator ends, and another one takes its place.
+      world.nodes[node]->StepDown("ended");
+      break;
+  }
+  target.work = Duration{pick(3) * 400'000};
+  const bool has_coordinator =
+      std::any_of(world.nodes.begin(), world.nodes.end(), [&world](const auto& it) {
+        const auto i = static_cast<std::size_t>(&it - world.nodes.data());
+        return world.sides[i] == 0 && it->leading();
+      });
+  if (!has_coordinator && world.sides[node] == 0) world.nodes[node]->TakeOver();
+}
+
+TEST_CASE("no two targets hold the same key when targets restart unnoticed",
+          "[key_coordinator][restarted]") {
+  const auto seed = GENERATE(range(1, 201));
+  INFO("seed " << seed);
+  OwnershipWorld world(seed % 10 == 0 ? 40 : 3 + seed % 4, 3, static_cast<std::uint64_t>(seed));
+  world.followers_confirmed = seed % 2 == 0;
+  world.loss_probability = seed % 3 * 0.1;
+  world.delay_probability = seed % 5 == 0 ? 0.1 : 0;
+  world.MakeCoordinator(0);
+  for (int i = 0; i < 100; ++i) {
+    InjectRestartFault(world);
+    if (i % 4 == 0) InjectFault(world);
+    world.Run(Duration{std::uniform_int_distribution<int>(10, 900)(world.random) * 1000});
+    REQUIRE(world.max_holders <= 1);
+  }
+}
+
 TEST_CASE("no two targets hold the same key under random faults", "[key_coordinator]") {
   const auto seed = GENERATE(range(1, 251), values({850}));
   INFO("seed " << seed);
@@ -405,7 +763,7 @@
   for (auto& [id, target] : world.models) {
     target.reachable = true;
     ++target.entry.sequence;
-    world.directory.Apply(target.entry, world.now);
+    world.ApplyEntry(target.entry);
   }
   for (int i = 0; i < 30; ++i) {
     bool has_coordinator = false;
