--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -54,6 +54,21 @@
 /// bodies. A request body exists twice while it is sent to a target.
 constexpr std::size_t kBodyMemoryDivisor = 6;
 
+/// Limits of messages other than those of callers: responses to grants and releases, and requests
+/// for readiness and metrics. They have a few hundred bytes.
+constexpr std::uint32_t kControlHeaderBytes = 16 * 1024;
+constexpr std::uint64_t kControlBodyBytes = 16 * 1024;
+
+net::MessageLimits ControlMessageLimits() {
+  return {kControlHeaderBytes, kControlBodyBytes, nullptr};
+}
+
+net::PoolLimits ControlCallLimits() {
+  net::PoolLimits limits;
+  limits.message = ControlMessageLimits();
+  return limits;
+}
+
 ForwarderSettings ForwarderSettingsFor(const InstanceSettings& settings) {
   ForwarderSettings result = settings.forwarder;
   result.response_body_bytes = settings.memory_bytes / kBodyMemoryDivisor;
@@ -107,7 +122,7 @@
             exchange->Respond(PlainResponse(200, Metrics()));
           },
           [](const net::RequestFault& fault) { return PlainResponse(fault.status, fault.text); }),
-      caller_(loop, net::PoolLimits{}),
+      caller_(loop, ControlCallLimits()),
       peers_(loop, log, settings_.peers,
              {settings_.peer_address, settings_.data_centre, settings_.incarnation,
               static_cast<float>(settings_.processor_share)}),
@@ -137,6 +152,8 @@
   callers_.limits().max_connections = settings_.max_caller_connections;
   callers_.limits().message.bodies =
       new net::BodyBudget(settings_.memory_bytes / kBodyMemoryDivisor);
+  readiness_.limits().message = ControlMessageLimits();
+  metrics_.limits().message = ControlMessageLimits();
   forwarder_.on_target_leaving = [this](const std::string& id) {
     OnTargetChange(id, TargetChange::kLeaving, {{"source", "response"}});
     urgent_update_pending_ = true;
--- a/packages/net/include/dogwoodport/net/http_message.h
+++ b/packages/net/include/dogwoodport/net/http_message.h
@@ -29,6 +29,7 @@
   /// Returns the number of fields named `name` (case-insensitive). Complexity: linear.
   std::size_t Count(std::string_view name) const noexcept;
 
+  std::size_t size() const noexcept { return items_.size(); }
   auto begin() const noexcept { return items_.begin(); }
   auto end() const noexcept { return items_.end(); }
 
--- a/packages/net/include/dogwoodport/net/http_parser.h
+++ b/packages/net/include/dogwoodport/net/http_parser.h
@@ -15,6 +15,7 @@
 
 /// Size limits of a message, in bytes.
 struct MessageLimits {
+  /// Limit of the header section, and of each chunk header and the trailers of a chunked body.
   std::uint32_t header_bytes = 16 * 1024;
   std::uint64_t body_bytes = 64ULL * 1024 * 1024;
   /// Memory budget shared by the bodies of all messages; null for no shared budget.
--- a/packages/net/src/http_parser.cc
+++ b/packages/net/src/http_parser.cc
@@ -13,6 +13,10 @@
 using boost::beast::error_code;
 using BeastText = boost::beast::string_view;
 
+/// Maximum number of header fields of a response. A field occupies several times the bytes that the
+/// shortest one has in a message.
+constexpr std::size_t kMaxResponseFields = 1'000;
+
 std::string_view ToStringView(BeastText text) noexcept { return {text.data(), text.size()}; }
 
 /// Whether the header section in `data` contains a folded line. Line folding is obsolete (RFC 9112,
@@ -29,13 +33,14 @@
  public:
   using Base = http::basic_parser<kIsRequest>;
 
-  explicit MessageCollector(const MessageLimits& limits) {
+  explicit MessageCollector(const MessageLimits& limits) : header_bytes(limits.header_bytes) {
     this->header_limit(limits.header_bytes);
     this->body_limit(limits.body_bytes);
     this->eager(true);
     if (limits.bodies) lease = BodyLeasePtr(new BodyLease(limits.bodies));
   }
 
+  std::uint32_t header_bytes;
   Fields fields;
   std::string body;
   BodyLeasePtr lease;
@@ -71,7 +76,8 @@
 };
 
 /// Passes `data` to `parser` until all of it is consumed, the message is complete or the parser
-/// fails. Returns the number of bytes consumed.
+/// fails. Returns the number of bytes consumed. Chunk headers and trailers are consumed only once
+/// they are complete; they must not exceed the limit of the header section.
 template <typename Parser>
 std::size_t Feed(Parser& parser, std::string_view data, error_code& ec) {
   std::size_t used = 0;
@@ -81,6 +87,9 @@
     if (ec) break;
   }
   if (ec == http::error::need_more) ec = {};
+  if (!ec && !parser.is_done() && data.size() - used > parser.header_bytes) {
+    ec = http::error::bad_chunk;
+  }
   return used;
 }
 
@@ -206,6 +215,13 @@
   bool failed = false;
 
  protected:
+  void on_field_impl(http::field id, BeastText name, BeastText value, error_code& ec) override {
+    if (fields.size() >= kMaxResponseFields) {
+      ec = http::error::header_limit;
+      return;
+    }
+    MessageCollector::on_field_impl(id, name, value, ec);
+  }
   void on_request_impl(http::verb /*verb*/, BeastText /*method*/, BeastText /*target*/,
                        int /*version*/, error_code& /*ec*/) override {}
   void on_response_impl(int code, BeastText /*reason*/, int /*version*/,
--- a/tests/net/scripted_target.h
+++ b/tests/net/scripted_target.h
@@ -49,6 +49,8 @@
   std::size_t connections() const { return connections_.size(); }
   StreamEnd end(std::size_t i) const { return connections_[i]->end_reason; }
   bool ended(std::size_t i) const { return connections_[i]->ended; }
+  /// Number of bytes of an endless response that were sent on the connection with index `i`.
+  std::size_t sent(std::size_t i) const { return connections_[i]->sent; }
   /// The requests received so far, in order.
   const std::vector<std::string>& requests() const { return requests_; }
   /// Sends bytes on the connection with index `i`.
--- a/tests/net/unit-http_parser.cpp
+++ b/tests/net/unit-http_parser.cpp
@@ -116,6 +116,74 @@
   CHECK(parser.failed() == test_case.failed);
 }
 
+/// Bytes that never complete a message.
+struct EndlessBytes {
+  const char* description;
+  std::string head;
+  std::string repeated;
+};
+
+std::vector<EndlessBytes> EndlessFraming() {
+  const std::string kib(1024, 'x');
+  return {
+      {"a chunk size of zeros", "", std::string(1024, '0')},
+      {"a chunk extension", "5;", kib},
+      {"a line after a chunk", "1\r\na", kib},
+      {"a trailer line", "0\r\nX-A: ", kib},
+      {"trailer fields", "0\r\n", "X-A: b\r\n"},
+  };
+}
+
+/// Passes bytes to a parser as a connection does, until `ended` returns true or `max_bytes` have
+/// been received. Returns the largest number of bytes that had to be kept.
+template <typename Parser, typename Ended>
+std::size_t FeedEndless(Parser& parser, const EndlessBytes& bytes, std::size_t max_bytes,
+                        const Ended& ended) {
+  std::string buf = bytes.head;
+  std::size_t kept = 0;
+  for (std::size_t n = 0; n < max_bytes && !ended(); n += bytes.repeated.size()) {
+    buf += bytes.repeated;
+    buf.erase(0, parser.Put(buf));
+    kept = std::max(kept, buf.size());
+  }
+  return kept;
+}
+
+// Guards against the framing of a chunked body that a peer sends without end and that is kept.
+TEST_CASE("endless framing of a chunked body is given up at the limit of the header section",
+          "[http_parser][endless]") {
+  constexpr std::size_t kLimit = 16 * 1024;
+  EndlessBytes bytes = GENERATE(from_range(EndlessFraming()));
+  INFO(bytes.description);
+  SECTION("in a response") {
+    ResponseParser parser(MessageLimits{kLimit, 1'000'000, nullptr}, false);
+    bytes.head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + bytes.head;
+    const std::size_t kept =
+        FeedEndless(parser, bytes, 16 * kLimit, [&] { return parser.failed(); });
+    CHECK(parser.failed());
+    CHECK(kept <= kLimit + bytes.repeated.size());
+  }
+  SECTION("in a request") {
+    RequestParser parser(MessageLimits{kLimit, 1'000'000, nullptr});
+    bytes.head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + bytes.head;
+    const std::size_t kept =
+        FeedEndless(parser, bytes, 16 * kLimit, [&] { return parser.fault().has_value(); });
+    REQUIRE(parser.fault());
+    CHECK(parser.fault()->status == 400);
+    CHECK(kept <= kLimit + bytes.repeated.size());
+  }
+}
+
+TEST_CASE("a response with very many header fields fails", "[http_parser][endless]") {
+  const auto [count, fails] = GENERATE(table<int, bool>({{500, false}, {5'000, true}}));
+  std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+  for (int i = 0; i < count; ++i) head += "X: 1\r\n";
+  ResponseParser parser(MessageLimits{64 * 1024, 1'000, nullptr}, false);
+  parser.Put(head + "\r\n");
+  CHECK(parser.failed() == fails);
+  CHECK(parser.complete() != fails);
+}
+
 TEST_CASE("hop-by-hop fields are recognised", "[http_parser]") {
   CHECK(IsHopByHop("connection", ""));
   CHECK(IsHopByHop("Transfer-Encoding", ""));
--- a/tools/soak/faults.cc
+++ b/tools/soak/faults.cc
@@ -21,6 +21,12 @@
 /// turns an instance away.
 constexpr Duration kTargetEntryInterval{1'300'000};
 constexpr int kMaxRefusalMs = 1'500;
+/// Interval between disturbances of targets, and maximum durations of an endless response, of a cut
+/// between a target and the store, and of the target's downtime meanwhile.
+constexpr Duration kTargetInterval{2'300'000};
+constexpr int kMaxEndlessMs = 2'000;
+constexpr int kMaxCutMs = 6'000;
+constexpr int kMaxCutDowntimeMs = 1'500;
 /// Time after a pause or a cut until what was held up has arrived.
 constexpr Duration kLimitRecoveryTime{1'000'000};
 
@@ -69,6 +75,7 @@
       random_engine_(seed),
       crashing_request_random_(seed),
       target_entry_random_(seed),
+      target_random_(seed),
       history_(history) {
   constexpr std::array<double, 3> kLimits = {0.5, 2, 5.3};
   limited_target_ = static_cast<std::size_t>(seed) % fleet_.targets();
@@ -80,6 +87,7 @@
   const TimePoint start = loop_.now();
   SendCrashingRequests();
   DisturbTargetEntries();
+  DisturbTargets();
   while (loop_.now() < end) {
     NameLimit();
     const FaultKind& fault_kind = FaultKinds()[RandomIndex(FaultKinds().size())];
@@ -89,6 +97,7 @@
     fleet_.Run(RandomIndex(4) == 0 ? RandomDuration(500, 2'500) : RandomDuration(20, 400));
   }
   loop_.Cancel(target_entry_timer_);
+  loop_.Cancel(target_timer_);
   const auto repairs = std::exchange(pending_repairs_, {});
   for (const auto& [repair_id, repair] : repairs) repair();
 }
@@ -132,6 +141,31 @@
   target_entry_timer_ = loop_.RunAfter(kTargetEntryInterval, [this] { DisturbTargetEntries(); });
 }
 
+void FaultInjector::DisturbTargets() {
+  const auto pick_ms = [this](int max_ms) {
+    return std::chrono::milliseconds(target_random_() % static_cast<unsigned>(max_ms));
+  };
+  const std::size_t target = target_random_() % fleet_.targets();
+  if (target_random_() % 2 == 0) {
+    ProxyFaults proxy_faults;
+    proxy_faults.head = "HTTP/1.1 200 OK\r\n";
+    if (target_random_() % 2 == 0) proxy_faults.head += "\r\n";
+    proxy_faults.endless = std::string(1024, 'x');
+    const Duration duration = pick_ms(kMaxEndlessMs);
+    fleet_.TargetProxy(target).SetFaults(proxy_faults);
+    fleet_.checker().SuspendTargetLimits(loop_.now() + duration + kLimitRecoveryTime);
+    RepairAfter(duration, [this, target] {
+      fleet_.TargetProxy(target).SetFaults({});
+      fleet_.TargetProxy(target).ResetConnections();
+    });
+  } else {
+    fleet_.SetTargetCutOff(target, true);
+    fleet_.CrashTarget(target, pick_ms(kMaxCutDowntimeMs), true);
+    RepairAfter(pick_ms(kMaxCutMs), [this, target] { fleet_.SetTargetCutOff(target, false); });
+  }
+  target_timer_ = loop_.RunAfter(kTargetInterval, [this] { DisturbTargets(); });
+}
+
 void FaultInjector::RepairAfter(Duration duration, std::function<void()> repair) {
   fleet_.RecordDisturbance(duration);
   const int repair_id = next_repair_id_++;
--- a/tools/soak/faults.h
+++ b/tools/soak/faults.h
@@ -56,6 +56,9 @@
   /// Adds an odd entry to those of the targets, removes the entry of a target that leaves, or makes
   /// the store turn one instance away, and schedules the next one until the end of InjectFaults().
   void DisturbTargetEntries();
+  /// Makes a target respond without end, or cuts one off from the store and restarts it under its
+  /// id meanwhile, and schedules the next one until the end of InjectFaults().
+  void DisturbTargets();
   /// Sends one of a few requests that crash their targets to a random instance, and schedules the
   /// next one.
   void SendCrashingRequests();
@@ -78,9 +81,11 @@
   /// Separate engine for the crashing requests, so that the sequence of faults depends on the seed
   /// only.
   std::mt19937_64 crashing_request_random_;
-  /// Likewise for the entries of the targets.
+  /// Likewise for the entries of the targets, and for the targets.
   std::mt19937_64 target_entry_random_;
   net::TimerId target_entry_timer_;
+  std::mt19937_64 target_random_;
+  net::TimerId target_timer_;
   std::ostream& history_;
   std::map<int, std::function<void()>> pending_repairs_;
   int next_repair_id_ = 0;
