--- a/packages/fleet/src/membership/target_directory.cc
+++ b/packages/fleet/src/membership/target_directory.cc
@@ -39,7 +39,8 @@
   if (it == incarnations_.end() || !it->second.sequence) return false;
   const std::uint64_t latest = *it->second.sequence;
   const Target* const current = Find(heartbeat.id);
-  if (current == nullptr) return heartbeat.sequence <= latest;
+  // Without a start time, the next incarnation has the same number.
+  if (current == nullptr) return heartbeat.incarnation != 0 && heartbeat.sequence <= latest;
   const std::uint64_t incarnation = current->entry.incarnation;
   if (incarnation == heartbeat.incarnation) return heartbeat.sequence < latest;
   if (incarnation < heartbeat.incarnation) return heartbeat.sequence <= latest;
