--- a/packages/fleet/include/dogwoodport/fleet/state/routing_config.h
+++ b/packages/fleet/include/dogwoodport/fleet/state/routing_config.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -83,8 +84,10 @@
 class RoutingConfig {
  public:
   RoutingConfig() = default;
+  /// Without `accounts`, requests need no secret. With an empty list, no secret is valid.
   RoutingConfig(std::uint64_t config_version, std::vector<Route> routes,
-                std::vector<Service> services, std::vector<Account> accounts, CallerLimits limits);
+                std::vector<Service> services, std::optional<std::vector<Account>> accounts,
+                CallerLimits limits);
 
   std::uint64_t version() const noexcept { return version_; }
   const CallerLimits& limits() const noexcept { return limits_; }
@@ -103,13 +106,14 @@
   const Account* FindAccount(const std::string& secret) const;
 
   /// Whether requests need the secret of an account, unless their route is public.
-  bool has_accounts() const noexcept { return !accounts_.empty(); }
+  bool requires_secrets() const noexcept { return requires_secrets_; }
 
  private:
   std::uint64_t version_ = 0;
   std::vector<Route> routes_;
   std::map<std::string, Service> services_;
   std::vector<Account> accounts_;
+  bool requires_secrets_ = false;
   CallerLimits limits_;
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
   std::unordered_map<std::string, std::size_t> accounts_by_secret_;
--- a/packages/fleet/src/requests/forwarder_admission.cc
+++ b/packages/fleet/src/requests/forwarder_admission.cc
@@ -37,7 +37,7 @@
            Refusal::kUnknownRoute, kDefaultRetryAfter);
     return false;
   }
-  const bool needs_account = !request.route->is_public && request.config->has_accounts();
+  const bool needs_account = !request.route->is_public && request.config->requires_secrets();
   if (needs_account && !CheckSecret(request)) return false;
   if (RefuseQuarantined(request)) return false;
   if (request.caller.caller_timeout_malformed || request.caller.request_id.empty()) {
@@ -140,11 +140,14 @@
   double total_weight = 0;
   for (const Split& it : route.splits) total_weight += it.weight;
   double position = Random() * total_weight;
+  std::string chosen;
   for (const Split& it : route.splits) {
+    if (it.weight <= 0) continue;
+    chosen = it.service;
     position -= it.weight;
-    if (position < 0) return it.service;
+    if (position < 0) break;
   }
-  return route.splits.empty() ? "" : route.splits.back().service;
+  return chosen;
 }
 
 }  // namespace dogwoodport::fleet
--- a/packages/fleet/src/state/routing_config.cc
+++ b/packages/fleet/src/state/routing_config.cc
@@ -6,12 +6,13 @@
 namespace dogwoodport::fleet {
 
 RoutingConfig::RoutingConfig(std::uint64_t config_version, std::vector<Route> routes,
-                             std::vector<Service> services, std::vector<Account> accounts,
-                             CallerLimits limits)
+                             std::vector<Service> services,
+                             std::optional<std::vector<Account>> accounts, CallerLimits limits)
     : version_(config_version),
       routes_(std::move(routes)),
-      accounts_(std::move(accounts)),
+      requires_secrets_(accounts.has_value()),
       limits_(limits) {
+  if (accounts) accounts_ = std::move(*accounts);
   for (Service& it : services) {
     const std::string name = it.name;
     services_.emplace(name, std::move(it));
--- a/tests/fleet/forwarder_world.h
+++ b/tests/fleet/forwarder_world.h
@@ -140,8 +140,8 @@
       route.splits = {{route.name == "keyed" ? "keyed" : "plain", 1}};
       routes.push_back(route);
     }
-    view.config = std::make_shared<RoutingConfig>(1, routes, Services(), std::vector<Account>(),
-                                                  CallerLimits{});
+    view.config =
+        std::make_shared<RoutingConfig>(1, routes, Services(), std::nullopt, CallerLimits{});
     view.config_verified_at = loop.now() + std::chrono::hours(1);
   }
 
--- a/tests/fleet/unit-forwarder_bounds.cpp
+++ b/tests/fleet/unit-forwarder_bounds.cpp
@@ -68,7 +68,7 @@
   services[0].name = "plain";
   services[1].name = "other";
   fixture.view.config = std::make_shared<RoutingConfig>(2, std::vector<Route>{route}, services,
-                                                        std::vector<Account>(), CallerLimits{});
+                                                        std::nullopt, CallerLimits{});
   const bool other_has_target = GENERATE(true, false);
   const auto script = [](const std::string& request, std::size_t /*connection*/) {
     return Serve(request);
@@ -86,5 +86,34 @@
   CHECK(refused == (other_has_target ? 0 : kRequests - static_cast<int>(plain.requests().size())));
 }
 
+// Guards against requests that are served without an account because the list of accounts is empty.
+TEST_CASE("with an empty list of accounts only public routes are served",
+          "[forwarder][empty_lists]") {
+  const bool is_public = GENERATE(false, true);
+  INFO("public " << is_public);
+  ForwarderFixture fixture;
+  const net::ScriptedTarget& target = fixture.AddTarget(
+      "t1", [](const std::string& request, std::size_t /*connection*/) { return Serve(request); });
+  std::vector<Route> routes = fixture.view.config->routes();
+  for (Route& it : routes) it.is_public = is_public;
+  fixture.view.config = std::make_shared<RoutingConfig>(2, routes, ForwarderFixture::Services(),
+                                                        std::vector<Account>(), CallerLimits{});
+  const std::string response = fixture.Call("/read/x", "r1");
+  CHECK(ForwarderFixture::StatusOf(response) == (is_public ? 200 : 401));
+  CHECK(target.requests().size() == (is_public ? 1 : 0));
+}
+
+TEST_CASE("a route whose parts all have no weight is not served", "[forwarder][empty_lists]") {
+  ForwarderFixture fixture;
+  const net::ScriptedTarget& target = fixture.AddTarget(
+      "t1", [](const std::string& request, std::size_t /*connection*/) { return Serve(request); });
+  std::vector<Route> routes = fixture.view.config->routes();
+  for (Route& it : routes) it.splits = {{"plain", 0}};
+  fixture.view.config = std::make_shared<RoutingConfig>(2, routes, ForwarderFixture::Services(),
+                                                        std::nullopt, CallerLimits{});
+  CHECK(ForwarderFixture::StatusOf(fixture.Call("/read/x", "r1")) == 503);
+  CHECK(target.requests().empty());
+}
+
 }  // namespace
 }  // namespace dogwoodport::fleet
--- a/tests/platform/unit-records.cpp
+++ b/tests/platform/unit-records.cpp
@@ -177,10 +177,35 @@
   CHECK(config.FindService("s")->cold_rate == 21.0);
 }
 
+struct AccountList {
+  const char* description;
+  const char* field;
+  bool requires_secrets;
+};
+
+// Guards against a configuration whose list of accounts is empty and that opens all routes.
+TEST_CASE("a configuration that contains accounts requires secrets even if there are none",
+          "[records][empty_lists]") {
+  const auto test_case = GENERATE(values<AccountList>({
+      {"no list", "", false},
+      {"an empty list", R"(,"tenants":[])", true},
+      {"null", R"(,"tenants":null)", true},
+      {"an account without secrets", R"(,"tenants":[{"name":"t","apiKeys":[]}])", true},
+  }));
+  INFO(test_case.description);
+  const auto record = WireProtocol().ReadOperatorRecord(
+      "config", R"({"version":1,"services":[],"hosts":[])" + std::string(test_case.field) + "}");
+  REQUIRE(std::holds_alternative<fleet::RoutingConfigPtr>(record));
+  const fleet::RoutingConfig& config = *std::get<fleet::RoutingConfigPtr>(record);
+  CHECK(config.requires_secrets() == test_case.requires_secrets);
+  CHECK(config.FindAccount("") == nullptr);
+}
+
 TEST_CASE("an invalid operator record yields the reason of the failure", "[records]") {
   const auto text = GENERATE(values<std::string>(
       {"", "{}", "nonsense", R"({"version":1,"services":[],"hosts":[{"host":"h"}]})",
-       R"({"version":1,"services":[{"name":"s","coldStart":"soon"}],"hosts":[]})"}));
+       R"({"version":1,"services":[{"name":"s","coldStart":"soon"}],"hosts":[]})",
+       R"({"version":1,"services":[],"hosts":[],"tenants":[{"name":"","apiKeys":["k"]}]})"}));
   INFO(text);
   const auto record = WireProtocol().ReadOperatorRecord("config", text);
   REQUIRE(std::holds_alternative<fleet::Unusable>(record));
