--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -211,6 +211,8 @@
   void Refuse(Request& request, int code, Refusal refusal, Duration retry_after);
   void Finish(Request& request, net::HttpResponse response, const char* outcome);
   void DispatchService(const std::string& service);
+  /// Returns the fields of a message that are forwarded.
+  net::Fields EndToEndFields(const net::Fields& fields) const;
   void RecordOutcome(const Request& request, const char* outcome);
   void LogRequest(LogLevel level, const char* event, const Request& request, nlohmann::json fields);
   TimePoint now() const noexcept { return loop_.now(); }
--- a/packages/fleet/include/dogwoodport/fleet/target_protocol.h
+++ b/packages/fleet/include/dogwoodport/fleet/target_protocol.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "dogwoodport/fleet/membership/target_entry.h"
@@ -91,6 +92,9 @@
   virtual ~TargetProtocol() = default;
 
   virtual CallerFields ReadCaller(const net::HttpRequest& request) const = 0;
+  /// Whether a header field belongs to this protocol, so that no sender can declare it to concern
+  /// its connection only.
+  virtual bool IsEndToEnd(std::string_view field) const = 0;
   /// Rewrites the header fields of a request for a target: removes the secret and all fields
   /// reserved for the router, then adds `fields`.
   virtual void PrepareRequest(net::HttpRequest& request, const ForwardFields& fields) const = 0;
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -213,7 +213,7 @@
   net::HttpRequest forwarded_head;
   forwarded_head.method = original.method;
   forwarded_head.target = original.target;
-  forwarded_head.fields = original.fields;
+  forwarded_head.fields = EndToEndFields(original.fields);
   forwarded_head.has_body = original.has_body;
   protocol_.PrepareRequest(forwarded_head,
                            {request.deadline - now(), target.entry.id, request.account});
@@ -457,9 +457,15 @@
     RecordOutcome(request, outcome);
     LogRequest(LogLevel::kDebug, outcome, request, {{"status", response.status}});
   }
+  response.fields = EndToEndFields(response.fields);
   request.exchange->Respond(std::move(response));
 }
 
+net::Fields Forwarder::EndToEndFields(const net::Fields& fields) const {
+  return net::EndToEndFields(fields,
+                             [this](std::string_view name) { return protocol_.IsEndToEnd(name); });
+}
+
 void Forwarder::RecordOutcome(const Request& request, const char* outcome) {
   metrics_.Count(request.service == nullptr ? std::string_view() : request.service->name, outcome,
                  now() - request.exchange->received_at());
--- a/packages/net/include/dogwoodport/net/http_message.h
+++ b/packages/net/include/dogwoodport/net/http_message.h
@@ -3,6 +3,7 @@
 /// @file
 /// HTTP requests, responses and header fields, independent of the parser.
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,6 +71,12 @@
 /// Connection field, which may list additional hop-by-hop fields.
 bool IsHopByHop(std::string_view name, std::string_view connection) noexcept;
 
+/// Returns the fields of a received message that may be forwarded: without hop-by-hop fields and
+/// those that its Connection fields name. A sender cannot name Host or the fields for which
+/// `is_end_to_end` returns true, because those are meant for all recipients.
+Fields EndToEndFields(const Fields& fields,
+                      const std::function<bool(std::string_view)>& is_end_to_end);
+
 /// Returns the standard reason phrase, or an empty string for an unknown status.
 std::string_view ReasonPhrase(int status) noexcept;
 
--- a/packages/net/src/http_message.cc
+++ b/packages/net/src/http_message.cc
@@ -50,6 +50,20 @@
          boost::beast::http::token_list(ToBeastView(connection)).exists(ToBeastView(name));
 }
 
+Fields EndToEndFields(const Fields& fields,
+                      const std::function<bool(std::string_view)>& is_end_to_end) {
+  std::string options;
+  for (const Field& it : fields) {
+    if (EqualNames(it.name, "Connection")) options.append(it.value).append(",");
+  }
+  Fields result;
+  for (const Field& it : fields) {
+    const bool cannot_be_named = EqualNames(it.name, "Host") || is_end_to_end(it.name);
+    if (!IsHopByHop(it.name, cannot_be_named ? "" : options)) result.Add(it.name, it.value);
+  }
+  return result;
+}
+
 std::string_view ReasonPhrase(int status) noexcept {
   const auto text =
       boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
--- a/tests/fleet/forwarder_world.h
+++ b/tests/fleet/forwarder_world.h
@@ -35,8 +35,13 @@
     }
     return caller;
   }
+  bool IsEndToEnd(std::string_view field) const override {
+    return field == "Id" || field == "Key" || field == "Target" || field == "Account" ||
+           field == "Signed" || field == "Not-Run";
+  }
   void PrepareRequest(net::HttpRequest& request, const ForwardFields& fields) const override {
     request.fields.Add("Target", fields.target_id);
+    if (!fields.account.empty()) request.fields.Add("Account", fields.account);
   }
   ResponseFields ReadResponse(const net::HttpResponse& response) const override {
     ResponseFields result;
@@ -191,18 +196,20 @@
     view.accounts.SetLenders({lender}, 1, LoanRole::kBorrower);
   }
 
-  /// Sends a request on a new connection, without waiting for the response.
-  net::RawClient& Send(const std::string& path, const std::string& id) {
+  /// Sends a request on a new connection, without waiting for the response. `fields` contains
+  /// further header lines, which come first.
+  net::RawClient& Send(const std::string& path, const std::string& id,
+                       const std::string& fields = "") {
     clients.push_back(std::make_unique<net::RawClient>(loop, server.address()));
-    clients.back()->stream->Write("POST " + path +
-                                  " HTTP/1.1\r\nHost: a\r\nKey: 7\r\nSecret: secret\r\nId: " + id +
+    clients.back()->stream->Write("POST " + path + " HTTP/1.1\r\n" + fields +
+                                  "Host: a\r\nKey: 7\r\nSecret: secret\r\nId: " + id +
                                   "\r\nContent-Length: 0\r\n\r\n");
     return *clients.back();
   }
 
   /// Sends a request and returns the response; empty if the connection ended without one.
-  std::string Call(const std::string& path, const std::string& id) {
-    net::RawClient& client = Send(path, id);
+  std::string Call(const std::string& path, const std::string& id, const std::string& fields = "") {
+    net::RawClient& client = Send(path, id, fields);
     REQUIRE(RunUntil([&] { return client.ended || IsComplete(client.received); }));
     return client.received;
   }
--- a/tests/fleet/unit-forwarder_bounds.cpp
+++ b/tests/fleet/unit-forwarder_bounds.cpp
@@ -115,5 +115,75 @@
   CHECK(target.requests().empty());
 }
 
+/// Returns Connection fields that name a random selection of `names`, in random case and order, and
+/// fields of a caller that has the same names.
+std::string RandomConnectionFields(std::mt19937_64& random, std::vector<std::string> names) {
+  const auto chance = [&random](unsigned n) { return random() % n == 0; };
+  std::shuffle(names.begin(), names.end(), random);
+  std::string result;
+  std::string options;
+  for (const std::string& it : names) {
+    if (chance(4)) result += it + ": forged\r\n";
+    if (chance(3)) continue;
+    std::string name = it;
+    for (char& c : name) c = static_cast<char>(chance(2) ? std::tolower(c) : std::toupper(c));
+    options += (options.empty() ? "" : chance(2) ? "," : " , ") + name;
+    if (chance(3)) result += "Connection: " + std::exchange(options, "") + "\r\n";
+  }
+  if (!options.empty()) result += "connection: " + options + "\r\n";
+  return result;
+}
+
+// Guards against a caller whose Connection field takes fields of the router off its request.
+TEST_CASE("a caller cannot take fields off a request through its Connection fields",
+          "[forwarder][connection_options]") {
+  const auto seed = GENERATE(range(1, 101));
+  std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+  const std::string fields = RandomConnectionFields(
+      random, {"Target", "Account", "X-Private", "keep-alive", "Host", "Id", "Key"});
+  INFO(fields);
+  // A caller's own fields for the request's identity make it another request.
+  const bool is_ambiguous = fields.find("Id: forged") != std::string::npos ||
+                            fields.find("Key: forged") != std::string::npos ||
+                            fields.find("Host: forged") != std::string::npos;
+  if (is_ambiguous) return;
+  ForwarderFixture fixture;
+  Account account;
+  account.name = "acme";
+  account.secrets = {"secret"};
+  fixture.view.config = std::make_shared<RoutingConfig>(2, fixture.view.config->routes(),
+                                                        ForwarderFixture::Services(),
+                                                        std::vector{account}, CallerLimits{});
+  const net::ScriptedTarget& target = fixture.AddTarget(
+      "t1", [](const std::string& request, std::size_t /*connection*/) { return Serve(request); });
+  REQUIRE(ForwarderFixture::StatusOf(fixture.Call("/write/x", "r1", fields)) == 200);
+  const std::string& received = target.requests().front();
+  CHECK(received.find("\r\nTarget: t1\r\n") != std::string::npos);
+  CHECK(received.find("\r\nAccount: acme\r\n") != std::string::npos);
+  CHECK(FieldOf(received, "Id") == "r1");
+  CHECK(FieldOf(received, "Key") == "7");
+  CHECK(FieldOf(received, "Host") == "a");
+}
+
+TEST_CASE("fields that a message names in any of its Connection fields are not forwarded",
+          "[forwarder][connection_options]") {
+  ForwarderFixture fixture;
+  const net::ScriptedTarget& target =
+      fixture.AddTarget("t1", [](const std::string& request, std::size_t /*connection*/) {
+        const std::string fields =
+            "Signed: 1\r\nX-Hop: 1\r\nX-Kept: 1\r\nConnection: signed, id\r\nConnection: x-hop\r\n";
+        return Reaction{TargetResponse(FieldOf(request, "Id"), 200, "ran", fields)};
+      });
+  const std::string response = fixture.Call(
+      "/write/x", "r1", "X-Hop: 1\r\nX-Kept: 1\r\nConnection: a\r\nConnection: b, x-hop\r\n");
+  for (const std::string& it : {target.requests().front(), response}) {
+    INFO(it);
+    CHECK(FieldOf(it, "X-Hop").empty());
+    CHECK(FieldOf(it, "X-Kept") == "1");
+    CHECK(FieldOf(it, "Id") == "r1");
+  }
+  CHECK(FieldOf(response, "Signed") == "1");
+}
+
 }  // namespace
 }  // namespace dogwoodport::fleet
--- a/tests/fleet/unit-key_coordinator.cpp
+++ b/tests/fleet/unit-key_coordinator.cpp
@@ -18,6 +18,7 @@
 class PlainProtocol : public TargetProtocol {
  public:
   CallerFields ReadCaller(const net::HttpRequest&) const override { return {}; }
+  bool IsEndToEnd(std::string_view) const override { return false; }
   void PrepareRequest(net::HttpRequest&, const ForwardFields&) const override {}
   ResponseFields ReadResponse(const net::HttpResponse&) const override { return {}; }
   net::HttpResponse MakeResponse(int, const std::string&, bool, const std::string&,
--- a/tests/platform/unit-wire_protocol.cpp
+++ b/tests/platform/unit-wire_protocol.cpp
@@ -80,6 +80,23 @@
   CHECK(request.fields.Find("X-Dogwoodport-Tenant-Id") == nullptr);
 }
 
+TEST_CASE("fields of the platform cannot be declared to concern one connection",
+          "[wire_protocol]") {
+  const auto [field, expected] = GENERATE(table<std::string, bool>({
+      {"X-Dogwoodport-Tenant-Id", true},
+      {"x-dogwoodport-request-id", true},
+      {"X-DOGWOODPORT-RESPONSE-SIGNATURE", true},
+      {"Retry-After", true},
+      {"Server-Leaving", true},
+      {"Server-Limit", true},
+      {"X-Dogwood", false},
+      {"Keep-Alive", false},
+      {"X-Private", false},
+  }));
+  INFO(field);
+  CHECK(WireProtocol().IsEndToEnd(field) == expected);
+}
+
 TEST_CASE("a response contains its request id, whether the request ran, and the load",
           "[wire_protocol]") {
   net::HttpResponse response;
