Compute sizes in their own type (linter)

Change: the first factor has the type of the constant; also in the test, which the linter does not read.

--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -57,7 +57,7 @@
 /// Limits of messages other than those of callers: responses to grants and releases, and requests
 /// for readiness and metrics. They have a few hundred bytes.
 constexpr std::uint32_t kControlHeaderBytes = 16 * 1024;
-constexpr std::uint64_t kControlBodyBytes = 16 * 1024;
+constexpr std::uint64_t kControlBodyBytes = std::uint64_t{16} * 1024;
 
 net::MessageLimits ControlMessageLimits() {
   return {kControlHeaderBytes, kControlBodyBytes, nullptr};
--- a/tests/net/unit-http_parser.cpp
+++ b/tests/net/unit-http_parser.cpp
@@ -152,7 +152,7 @@
 // Guards against the framing of a chunked body that a peer sends without end and that is kept.
 TEST_CASE("endless framing of a chunked body is given up at the limit of the header section",
           "[http_parser][endless]") {
-  constexpr std::size_t kLimit = 16 * 1024;
+  constexpr std::size_t kLimit = std::size_t{16} * 1024;
   EndlessBytes bytes = GENERATE(from_range(EndlessFraming()));
   INFO(bytes.description);
   SECTION("in a response") {
