--- a/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
+++ b/packages/fleet/include/dogwoodport/fleet/membership/peer_exchange.h
@@ -284,8 +284,11 @@
   /// instances. Complexity: linear in the instances; constant for each call of the predicate.
   ReachableTest Reachable() const;
   std::size_t reachable() const;
-  /// Whether every instance that was ever known has reported, after `since`, that it follows the
+  /// Whether the instances at these addresses have reported, after `since`, that they follow the
   /// coordinator of `generation` or of a newer one.
+  bool Follow(const std::vector<std::string>& addresses, std::uint64_t generation,
+              TimePoint since) const;
+  /// The same for every instance that was ever known.
   bool AllFollow(std::uint64_t generation, TimePoint since) const;
   /// Returns the addresses of all other instances in ascending order, including unreachable ones.
   std::vector<std::string> KnownAddresses() const;
--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
@@ -21,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "dogwoodport/fleet/event_log.h"
 #include "dogwoodport/fleet/limits/lending_start.h"
@@ -86,9 +87,9 @@
   /// Whether a target may own keys, and whether it may be assigned more of them.
   std::function<bool(const Target& target)> may_own;
   std::function<bool(const Target& target)> may_grow;
-  /// Whether every instance that may have been an earlier coordinator follows this one, so that no
-  /// other instance renews grants.
-  std::function<bool()> others_follow;
+  /// Whether the instances at these addresses, or all instances if unset, follow this one, so that
+  /// they do not renew grants.
+  std::function<bool(const std::optional<std::vector<std::string>>& addresses)> others_follow;
   /// Whether all loans of coordinators before the one of `generation` have expired. If unset, no
   /// loans are assumed to have expired.
   std::function<bool(std::uint64_t generation)> earlier_loans_expired;
@@ -159,6 +160,8 @@
     TimePoint last_grant_at{};
     /// Whether the previous owner has confirmed this coordinator's token.
     bool token_confirmed = false;
+    /// Whether no coordinator has renewed the grant since the take-over of this one.
+    bool renewals_ended = false;
     TimePoint next_call_at{};
   };
 
@@ -171,6 +174,8 @@
   void StartLeading(KeyTable table, std::uint64_t offset, TimePoint sent_at);
   void ReadBeforeTakeOver();
   void AppendTakeOver(KeyTable table, std::uint64_t feed_end);
+  /// Adds the previous coordinator to those that may still renew grants.
+  void AddPredecessor(KeyTable& table);
   void ConfirmRole();
   void OnConfirmed(TimePoint sent_at, const ReadOutcome& outcome);
 
@@ -193,6 +198,9 @@
   static bool FinishMoves(KeyTable& table);
 
   void RenewRanges();
+  /// Renews the grants of the parts of a range that the pending record leaves with its owner.
+  void RenewOwner(const std::string& service, const KeyRange& range, const std::string& handover);
+  std::vector<KeyRange> StayingParts(const std::string& service, const KeyRange& range) const;
   void ContinueMove(const std::string& service, KeyRange& range);
   void SendRelease(const std::string& service, const KeyRange& range, ReleaseState& release);
   void OnReleaseResponse(const RangeId& id, const SentRelease& sent,
@@ -227,6 +235,8 @@
   LendingStart lending_start_;
   /// Time from which no earlier coordinator renews grants.
   TimePoint sole_leader_from_{};
+  /// Whether no coordinator renews grants of the ranges that were moving at the take-over.
+  bool inherited_renewals_ended_ = false;
   TimePoint confirmed_at_{};
   TimePoint plan_at_{};
   /// Table whose append has no known outcome yet. Until the outcome is known, no destination
--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_table.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_table.h
@@ -58,8 +58,13 @@
   std::map<std::string, KeyRanges> services;
   /// See `LendingStart::takeovers`.
   int takeovers = 0;
+  /// Addresses of the coordinators before `coordinator` that may still renew grants; unset if they
+  /// are not known. A record with this field also states that `coordinator` renews no grant of a
+  /// key from the time on at which it began to record that the key moves.
+  std::optional<std::vector<std::string>> earlier_renewers;
 
-  MSGPACK_DEFINE_ARRAY(generation, coordinator, serial, revision, services, takeovers)
+  MSGPACK_DEFINE_ARRAY(generation, coordinator, serial, revision, services, takeovers,
+                       earlier_renewers)
 
   /// Whether this state is newer than `other`. Complexity: constant.
   bool NewerThan(const KeyTable& other) const noexcept {
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -155,9 +155,10 @@
   ports.may_grow = [this](const Target& target) {
     return view_.Usable(target, loop_.now()) && !target.cold(loop_.now()) && !target.doubtful;
   };
-  ports.others_follow = [this] {
+  ports.others_follow = [this](const std::optional<std::vector<std::string>>& addresses) {
     // Reports in transit at the time of the take-over do not count.
     const TimePoint since = coordinator_.took_over_at() + kMaxReportDelay;
+    if (addresses) return peers_.Follow(*addresses, view_.keys.generation, since);
     return registry_read_ && peers_.AllFollow(view_.keys.generation, since);
   };
   ports.earlier_loans_expired = [this](std::uint64_t generation) {
--- a/packages/fleet/src/membership/peer_exchange.cc
+++ b/packages/fleet/src/membership/peer_exchange.cc
@@ -314,14 +314,19 @@
   return newest == nullptr ? std::string() : newest->first;
 }
 
-bool PeerExchange::AllFollow(std::uint64_t generation, TimePoint since) const {
-  return std::all_of(ever_known_.begin(), ever_known_.end(), [&](const std::string& address) {
+bool PeerExchange::Follow(const std::vector<std::string>& addresses, std::uint64_t generation,
+                          TimePoint since) const {
+  return std::all_of(addresses.begin(), addresses.end(), [&](const std::string& address) {
     const auto it = peers_.find(address);
     return it != peers_.end() && it->second.reported_at > since && !it->second.report.leading &&
            it->second.report.generation >= generation;
   });
 }
 
+bool PeerExchange::AllFollow(std::uint64_t generation, TimePoint since) const {
+  return Follow({ever_known_.begin(), ever_known_.end()}, generation, since);
+}
+
 std::vector<std::string> PeerExchange::KnownAddresses() const {
   std::vector<std::string> result;
   for (const auto& [address, peer] : peers_) result.push_back(address);
--- a/packages/fleet/src/ownership/key_coordinator.cc
+++ b/packages/fleet/src/ownership/key_coordinator.cc
@@ -64,6 +64,18 @@
       }));
 }
 
+void KeyCoordinator::AddPredecessor(KeyTable& table) {
+  if (lending_start_.first) table.earlier_renewers.emplace();
+  inherited_renewals_ended_ = false;
+  if (!table.earlier_renewers) return;
+  std::vector<std::string>& renewers = *table.earlier_renewers;
+  // This instance does not renew grants of its earlier terms.
+  renewers.erase(std::remove(renewers.begin(), renewers.end(), self_), renewers.end());
+  inherited_renewals_ended_ = renewers.empty();
+  const bool has_predecessor = !table.coordinator.empty() && table.coordinator != self_;
+  if (has_predecessor) renewers.push_back(table.coordinator);
+}
+
 void KeyCoordinator::AppendTakeOver(KeyTable table, std::uint64_t feed_end) {
   lending_start_ = LendingStart{};
   lending_start_.first = feed_end == 0;
@@ -72,6 +84,7 @@
   lending_start_.predecessor_settled = table.takeovers == 0;
   const bool loans_expired =
       ports_.earlier_loans_expired && ports_.earlier_loans_expired(table.generation);
+  AddPredecessor(table);
   table.takeovers = lending_start_.first ? 0 : 1 + (loans_expired ? 0 : table.takeovers);
   lending_start_.takeovers = table.takeovers;
   table.generation = 0;
@@ -107,7 +120,9 @@
   lending_start_.generation = table_.generation;
   lending_start_.took_over_at = took_over_at_;
   lending_start_.confirmed_at = sent_at;
-  sole_leader_from_ = took_over_at_ + settings_.unconfirmed_renewal_limit;
+  const bool has_earlier = !table_.earlier_renewers || !table_.earlier_renewers->empty();
+  sole_leader_from_ =
+      took_over_at_ + (has_earlier ? settings_.unconfirmed_renewal_limit : Duration{0});
   plan_at_ = took_over_at_;
   pending_.reset();
   resolving_ = confirming_ = false;
@@ -115,6 +130,14 @@
   release_states_.clear();
   unanswered_grant_until_.clear();
   grants_in_flight_.clear();
+  for (const auto& [service, ranges] : table_.services) {
+    for (const KeyRange& it : ranges) {
+      if (it.previous.empty()) continue;
+      ReleaseState& release = release_states_[RangeId(service, it.first)];
+      release = MakeReleaseState(it, false);
+      release.renewals_ended = inherited_renewals_ended_;
+    }
+  }
   Log(LogLevel::kInfo, "coordinator_started", {{"services", table_.services.size()}});
   Publish();
   Tick();
@@ -133,7 +156,9 @@
   if (role_ != Role::kLeading) return;
   ConfirmRole();
   if (role_ != Role::kLeading) return;
-  if (ports_.now() < sole_leader_from_ && ports_.others_follow()) sole_leader_from_ = ports_.now();
+  if (ports_.now() < sole_leader_from_ && ports_.others_follow(table_.earlier_renewers)) {
+    sole_leader_from_ = ports_.now();
+  }
   RenewRanges();
   if (pending_) {
     if (!resolving_ && ports_.now() >= resolve_at_) ResolvePending();
@@ -213,6 +238,10 @@
     next.takeovers = 0;
     changed = true;
   }
+  if (now >= sole_leader_from_ && (!next.earlier_renewers || !next.earlier_renewers->empty())) {
+    next.earlier_renewers.emplace();
+    changed = true;
+  }
   // A merged range gets a new token. Ranges are merged only in a record without other changes,
   // because a move that begins in the same record must name the token its holder has.
   if (!changed) {
--- a/packages/fleet/src/ownership/key_coordinator_moves.cc
+++ b/packages/fleet/src/ownership/key_coordinator_moves.cc
@@ -39,7 +39,8 @@
 }
 
 TimePoint KeyCoordinator::EarlierGrantsEndAt(const ReleaseState& release) const {
-  return RefusesEarlierGrants(release) ? TimePoint{} : sole_leader_from_ + MaxHoldTime();
+  if (RefusesEarlierGrants(release)) return TimePoint{};
+  return (release.renewals_ended ? took_over_at_ : sole_leader_from_) + MaxHoldTime();
 }
 
 TimePoint KeyCoordinator::FreeAt(const ReleaseState& release) const {
@@ -69,14 +70,11 @@
         ContinueMove(service, it);
         continue;
       }
-      GrantState& state = grant_states_[id];
-      if (state.token != it.fencing_token || state.incarnation != it.incarnation ||
-          state.last != it.last) {
-        state = GrantState{it.fencing_token, it.incarnation, it.last, false, false, now};
-      }
-      if (!state.call_in_flight && now >= state.renew_at) SendGrant(service, it, "");
+      RenewOwner(service, it, "");
     }
   }
+  // Parts of ranges have grants of their own while a record is pending.
+  if (pending_) return;
   for (auto it = grant_states_.begin(); it != grant_states_.end();) {
     it = existing.count(it->first) > 0 ? std::next(it) : grant_states_.erase(it);
   }
@@ -85,6 +83,39 @@
   }
 }
 
+std::vector<KeyRange> KeyCoordinator::StayingParts(const std::string& service,
+                                                   const KeyRange& range) const {
+  if (!pending_) return {range};
+  const auto found = pending_->services.find(service);
+  if (found == pending_->services.end()) return {range};
+  const KeyRanges& planned = found->second;
+  auto it = std::lower_bound(
+      planned.begin(), planned.end(), range.first,
+      [](const KeyRange& other, std::uint16_t first) { return other.last < first; });
+  std::vector<KeyRange> parts;
+  for (; it != planned.end() && it->first <= range.last; ++it) {
+    if (it->owner != range.owner) continue;
+    KeyRange part = range;
+    part.first = std::max(range.first, it->first);
+    part.last = std::min(range.last, it->last);
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+void KeyCoordinator::RenewOwner(const std::string& service, const KeyRange& range,
+                                const std::string& handover) {
+  const TimePoint now = ports_.now();
+  for (const KeyRange& part : StayingParts(service, range)) {
+    GrantState& state = grant_states_[RangeId(service, part.first)];
+    if (state.token != part.fencing_token || state.incarnation != part.incarnation ||
+        state.last != part.last) {
+      state = GrantState{part.fencing_token, part.incarnation, part.last, false, false, now};
+    }
+    if (!state.call_in_flight && now >= state.renew_at) SendGrant(service, part, handover);
+  }
+}
+
 void KeyCoordinator::ContinueMove(const std::string& service, KeyRange& range) {
   const RangeId id(service, range.first);
   const TimePoint now = ports_.now();
@@ -104,13 +135,8 @@
          {"answered", release.release_confirmed}});
   }
   if (release.released) {
-    GrantState& state = grant_states_[id];
-    if (state.token != range.fencing_token || state.last != range.last) {
-      state = GrantState{range.fencing_token, range.incarnation, range.last, false, false, now};
-    }
     // The pending record may name a different destination.
-    if (pending_ && !state.confirmed) return;
-    if (!state.call_in_flight && now >= state.renew_at) SendGrant(service, range, release.handover);
+    if (!pending_ || range.ready) RenewOwner(service, range, release.handover);
     return;
   }
   const Target* const previous = ports_.directory->Find(range.previous);
--- a/tests/fleet/unit-key_coordinator.cpp
+++ b/tests/fleet/unit-key_coordinator.cpp
@@ -136,7 +136,9 @@
 /// seed.
 class OwnershipWorld {
  public:
-  OwnershipWorld(std::size_t targets, std::size_t coordinators, std::uint64_t seed) : random(seed) {
+  OwnershipWorld(std::size_t targets, std::size_t coordinators, std::uint64_t seed,
+                 const CoordinatorSettings& settings = {})
+      : random(seed) {
     for (std::size_t i = 0; i < targets; ++i) AddTarget("t" + std::to_string(i));
     for (std::size_t i = 0; i < coordinators; ++i) {
       alive.push_back(true);
@@ -144,8 +146,8 @@
       stores.push_back(std::make_unique<PartitionedStore>(store));
       directories.push_back(std::make_unique<TargetDirectory>());
       applied_entries.push_back(0);
-      nodes.push_back(std::make_unique<KeyCoordinator>(Ports(i), CoordinatorSettings{},
-                                                       "c" + std::to_string(i)));
+      nodes.push_back(
+          std::make_unique<KeyCoordinator>(Ports(i), settings, "c" + std::to_string(i)));
     }
     UpdateDirectories();
   }
@@ -176,10 +178,12 @@
     ports.capacity = [](const Target&) { return 10.0; };
     ports.may_own = [](const Target& target) { return target.entry.phase == TargetPhase::kReady; };
     ports.may_grow = ports.may_own;
-    ports.others_follow = [this, i] {
+    ports.others_follow = [this, i](const std::optional<std::vector<std::string>>& addresses) {
       for (std::size_t other = 0; other < nodes.size(); ++other) {
         if (other == i || !alive[other]) continue;
-        if (nodes[other]->leading() || sides[other] != sides[i]) return false;
+        const std::string address = "c" + std::to_string(other);
+        const bool counts = !addresses || std::count(addresses->begin(), addresses->end(), address);
+        if (counts && (nodes[other]->leading() || sides[other] != sides[i])) return false;
       }
       return followers_confirmed;
     };
@@ -600,6 +604,77 @@
   CHECK(world.HeldShare() == 1);
 }
 
+/// Lets "t1" release its keys slowly until a move of a piece of them has been recorded.
+void StartSlowMove(OwnershipWorld& world, std::size_t node) {
+  world.models["t1"].work = Duration{1'500'000};
+  for (std::size_t i = kBucketCount / 5; i < kBucketCount * 3 / 10; ++i) world.load[i] += 0.2;
+  const auto is_moving = [&] {
+    const KeyRanges& ranges = world.nodes[node]->table().services.at("s");
+    return std::any_of(ranges.begin(), ranges.end(),
+                       [](const KeyRange& it) { return it.previous == "t1"; });
+  };
+  while (!is_moving()) world.Run(kStep);
+}
+
+TEST_CASE("a move that a lost coordinator has begun ends once its grants have run out",
+          "[key_coordinator][restarted]") {
+  OwnershipWorld world(5, 3, 1);
+  world.MakeCoordinator(0);
+  world.Run(Duration{4'000'000});
+  StartSlowMove(world, 0);
+  world.alive[0] = false;
+  world.Run(Duration{1'300'000});
+  world.models["t1"].work = Duration{0};
+  world.MakeCoordinator(1);
+  // The longest hold of a grant, although the lost coordinator never reports that it follows.
+  world.Run(Duration{6'600'000});
+  CHECK(world.HeldShare() == 1);
+  CHECK(world.max_holders == 1);
+}
+
+TEST_CASE("a move that a new coordinator has begun waits for the one before it",
+          "[key_coordinator][restarted]") {
+  CoordinatorSettings settings;
+  settings.settling_time = Duration{0};
+  OwnershipWorld world(5, 3, 1, settings);
+  world.MakeCoordinator(0);
+  world.Run(Duration{4'000'000});
+  // The coordinator and t1 are cut off; the next one moves the keys of t1 and is lost.
+  ModelTarget& target = world.models["t1"];
+  world.SetSide(0, 1);
+  target.side = 1;
+  target.entry.phase = TargetPhase::kDraining;
+  world.Register("t1");
+  world.MakeCoordinator(1);
+  world.alive[1] = false;
+  world.MakeCoordinator(2);
+  world.Run(Duration{5'800'000});
+  REQUIRE(target.Holds(world.now) > 0);
+  // All targets are reachable again, but the first coordinator does not hear of the others yet.
+  world.sides[0] = target.side = 0;
+  world.Run(Duration{15'000'000});
+  CHECK(world.max_holders == 1);
+  CHECK(world.HeldShare() == 1);
+}
+
+TEST_CASE("the rest of a range is renewed while a move of a part has no known outcome",
+          "[key_coordinator]") {
+  OwnershipWorld world(5, 1, 1);
+  world.MakeCoordinator(0);
+  world.Run(Duration{4'000'000});
+  const std::size_t held = world.models["t1"].Holds(world.now);
+  world.store.mode = MemoryStore::Mode::kRefuses;
+  for (std::size_t i = kBucketCount / 5; i < kBucketCount * 3 / 10; ++i) world.load[i] += 0.2;
+  world.Run(Duration{8'000'000});
+  const std::size_t rest = world.models["t1"].Holds(world.now);
+  CHECK(rest > 0);
+  CHECK(rest < held);
+  world.store.mode = MemoryStore::Mode::kWorks;
+  world.Run(Duration{3'000'000});
+  CHECK(world.HeldShare() == 1);
+  CHECK(world.max_holders == 1);
+}
+
 TEST_CASE("a restarted target is not taken to refuse the grants of an earlier coordinator",
           "[key_coordinator][restarted]") {
   OwnershipWorld world(5, 2, 1);
