--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -229,7 +229,8 @@
   if (since >= at_most(kAdmissionCloseDelay, kMaxAdmissionCloseShare)) {
     forwarder_.RefuseNewRequests();
   }
-  const bool open = callers_.open_requests() > 0 || callers_.open_connections() > 0;
+  const bool open = callers_.open_requests() > 0 || callers_.open_connections() > 0 ||
+                    callers_.HasUnsentResponses();
   if (open || !callers_.draining()) last_open_at_ = loop_.now();
   const bool drained = loop_.now() - last_open_at_ >= kFinalResponseTime;
   if (drained || since >= settings_.shutdown_grace - kExitMargin) loop_.Stop();
--- a/packages/net/include/dogwoodport/net/http_server.h
+++ b/packages/net/include/dogwoodport/net/http_server.h
@@ -87,6 +87,8 @@
   std::deque<ExchangePtr> exchanges_;
   TimerId timer_;
   TimePoint last_activity_;
+  /// Bytes sent at the latest check of the idle timeout.
+  std::uint64_t sent_bytes_ = 0;
   /// Arrival time of the first byte of the request that is being read; unset if there is none.
   std::optional<TimePoint> reading_since_;
   bool continue_sent_ = false;
@@ -140,6 +142,9 @@
   /// Number of requests without a response.
   std::size_t open_requests() const noexcept { return open_requests_; }
   std::size_t open_connections() const noexcept { return connections_.size(); }
+  /// Whether bytes of responses on closing connections have not been passed to the operating system
+  /// yet. Complexity: linear in these connections.
+  bool HasUnsentResponses();
 
   void OnReadable() override;
   void OnWritable() override {}
@@ -151,6 +156,7 @@
   /// if the response refused the request (`refused`).
   bool ShouldClose(bool refused) const noexcept;
   bool EvictIdleConnection();
+  void ForgetSentStreams();
 
   using Connections =
       boost::intrusive::list<ServerConnection, boost::intrusive::constant_time_size<true>>;
@@ -162,6 +168,8 @@
   ServerLimits limits_;
   /// Ordered by the time of the latest input, oldest first.
   Connections connections_;
+  /// Closing connections with unsent responses.
+  std::vector<StreamPtr> unsent_;
   std::size_t open_requests_ = 0;
   bool draining_ = false;
 };
--- a/packages/net/include/dogwoodport/net/stream.h
+++ b/packages/net/include/dogwoodport/net/stream.h
@@ -66,10 +66,10 @@
   /// Resets the connection without raising an event. Bytes in transit are discarded, which an
   /// orderly close does not guarantee.
   void Reset();
-  /// Closes the connection in order without raising further events: sends the buffered output and
-  /// discards input until the peer closes too. Closing with unread input would reset the connection
-  /// and could discard output in transit. `peer_finished` tells that the peer will send nothing
-  /// more.
+  /// Closes the connection in order without raising further events: sends the buffered output for
+  /// as long as the peer accepts it and discards input until the peer closes too. Closing with
+  /// unread input would reset the connection and could discard output in transit. `peer_finished`
+  /// tells that the peer will send nothing more.
   void CloseAfterFlush(bool peer_finished);
 
   void OnReadable() override;
@@ -80,6 +80,8 @@
   void Flush();
   void End(StreamEnd end);
   void ShutdownOutput();
+  /// Closes the connection if the peer no longer accepts the buffered output.
+  void AwaitFlush();
 
   EventLoop& loop_;
   Poco::Net::StreamSocket socket_;
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "dogwoodport/net/http_status.h"
@@ -122,6 +123,17 @@
   }
 }
 
+void HttpServer::ForgetSentStreams() {
+  unsent_.erase(std::remove_if(unsent_.begin(), unsent_.end(),
+                               [](const StreamPtr& it) { return !it->open() || it->flushed(); }),
+                unsent_.end());
+}
+
+bool HttpServer::HasUnsentResponses() {
+  ForgetSentStreams();
+  return !unsent_.empty();
+}
+
 ServerConnection::ServerConnection(HttpServer& server, const Poco::Net::StreamSocket& socket)
     : server_(&server), parser_(server.limits_.message), last_activity_(server.loop_.now()) {
   stream_ = StreamPtr(new Stream(server.loop_, socket, this));
@@ -140,6 +152,10 @@
   server->open_requests_ -= exchanges_.size();
   server->connections_.erase(server->connections_.iterator_to(*this));
   stream_->CloseAfterFlush(caller_finished_);
+  if (stream_->open() && !stream_->flushed()) {
+    server->ForgetSentStreams();
+    server->unsent_.push_back(stream_);
+  }
   exchanges_.clear();
   intrusive_ptr_release(this);
 }
@@ -182,6 +198,9 @@
                                                  : "the header section did not arrive in time"});
     return;
   }
+  const bool is_sending = stream_->sent_bytes() != sent_bytes_;
+  sent_bytes_ = stream_->sent_bytes();
+  if (is_sending && !stream_->flushed()) last_activity_ = now;
   const bool idle = exchanges_.empty() && !stream_->HasUnreadInput();
   if (idle && now >= last_activity_ + server_->limits_.idle_timeout) {
     Remove();
--- a/packages/net/src/stream.cc
+++ b/packages/net/src/stream.cc
@@ -17,7 +17,9 @@
 constexpr std::size_t kMaxInputBytes = 256UL * 1024;
 /// TCP_USER_TIMEOUT: a connection fails when sent bytes remain unacknowledged for this long.
 constexpr int kUserTimeoutMs = 10'000;
-/// Maximum time after `CloseAfterFlush` to send the buffered output and wait for the peer to close.
+/// Maximum time after `CloseAfterFlush` without any progress in sending the buffered output.
+constexpr Duration kStalledOutputTimeout{5'000'000};
+/// Maximum time that a closed connection waits for the peer to close too once all output is sent.
 constexpr Duration kLingerTimeout{1'000'000};
 
 void Prepare(Poco::Net::StreamSocket& socket) {
@@ -80,6 +82,7 @@
   handler_ = nullptr;
   if (!open_) return;
   open_ = false;
+  std::string().swap(output_);
   loop_.Cancel(linger_timer_);
   loop_.Unwatch(socket_);
   socket_.close();
@@ -105,17 +108,29 @@
   }
   lingering_ = this;
   input_.clear();
-  linger_timer_ = loop_.RunAfter(kLingerTimeout, [this] {
+  if (output_.empty()) {
+    ShutdownOutput();
+  } else {
+    AwaitFlush();
+  }
+  UpdateMode();
+}
+
+void Stream::AwaitFlush() {
+  linger_timer_ = loop_.RunAfter(kStalledOutputTimeout, [this, sent = sent_bytes_] {
     linger_timer_ = TimerId{};
-    Close();
+    sent_bytes_ == sent ? Close() : AwaitFlush();
   });
-  if (output_.empty()) ShutdownOutput();
-  UpdateMode();
 }
 
 void Stream::ShutdownOutput() {
   if (output_shut_down_) return;
   output_shut_down_ = true;
+  loop_.Cancel(linger_timer_);
+  linger_timer_ = loop_.RunAfter(kLingerTimeout, [this] {
+    linger_timer_ = TimerId{};
+    Close();
+  });
   try {
     socket_.shutdownSend();
   } catch (const Poco::Exception&) {
--- a/tests/net/http_world.h
+++ b/tests/net/http_world.h
@@ -61,6 +61,8 @@
  public:
   RawClient(EventLoop& loop, const std::string& address)
       : stream(new Stream(loop, address, this)) {}
+  RawClient(EventLoop& loop, const Poco::Net::StreamSocket& connected)
+      : stream(new Stream(loop, connected, this)) {}
   ~RawClient() override { stream->Close(); }
 
   void OnInput() override {
--- a/tests/net/unit-http_server.cpp
+++ b/tests/net/unit-http_server.cpp
@@ -54,6 +54,78 @@
   CHECK(busy.received.find("done") != std::string::npos);
 }
 
+/// Larger than what the operating system buffers for one connection.
+constexpr std::size_t kLargeBodyBytes = 32'000'000;
+
+/// A client that reads for a moment after each pause.
+class SlowClient {
+ public:
+  SlowClient(EventLoop& loop, const std::string& address) : client(loop, address), loop_(loop) {}
+  ~SlowClient() { loop_.Cancel(timer_); }
+  SlowClient(const SlowClient&) = delete;
+  SlowClient& operator=(const SlowClient&) = delete;
+
+  void Read(Duration pause) {
+    loop_.Cancel(timer_);
+    client.stream->SetReading(true);
+    timer_ = loop_.RunAfter(kReadTime, [this, pause] {
+      client.stream->SetReading(false);
+      timer_ = loop_.RunAfter(pause, [this, pause] { Read(pause); });
+    });
+  }
+
+  RawClient client;
+
+ private:
+  static constexpr Duration kReadTime{3'000};
+
+  EventLoop& loop_;
+  TimerId timer_;
+};
+
+TEST_CASE("a response that its client reads slowly is sent completely", "[http_server]") {
+  const bool drains = GENERATE(true, false);
+  CAPTURE(drains);
+  HttpFixture fixture;
+  fixture.server.limits().idle_timeout = std::chrono::milliseconds(500);
+  SlowClient slow(fixture.loop, fixture.server.address());
+  slow.client.stream->Write(Get("/1"));
+  REQUIRE(fixture.RunUntil([&] { return fixture.exchanges.size() == 1; }));
+  slow.client.stream->SetReading(false);
+  fixture.exchanges[0]->Respond(HttpFixture::Text(std::string(kLargeBodyBytes, 'x')));
+  if (drains) {
+    fixture.server.Drain();
+    CHECK(fixture.server.open_connections() == 0);
+    CHECK(fixture.server.HasUnsentResponses());
+  }
+  // Reading takes longer than the idle timeout, or than a closed connection may make no progress.
+  const Duration reading_time = std::chrono::milliseconds(drains ? 5'500 : 2'500);
+  slow.Read(std::chrono::milliseconds(300));
+  fixture.loop.RunAfter(reading_time, [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  REQUIRE(slow.client.received.size() < kLargeBodyBytes);
+  CHECK(fixture.server.HasUnsentResponses() == drains);
+  slow.Read(Duration{0});
+  REQUIRE(RunUntil(
+      fixture.loop, [&] { return slow.client.received.size() > kLargeBodyBytes; },
+      std::chrono::seconds(30)));
+  CHECK_FALSE(fixture.server.HasUnsentResponses());
+}
+
+TEST_CASE("a client that stops reading does not keep its response", "[http_server]") {
+  HttpFixture fixture;
+  SlowClient stalled(fixture.loop, fixture.server.address());
+  stalled.client.stream->Write(Get("/1"));
+  REQUIRE(fixture.RunUntil([&] { return fixture.exchanges.size() == 1; }));
+  stalled.client.stream->SetReading(false);
+  fixture.exchanges[0]->Respond(HttpFixture::Text(std::string(kLargeBodyBytes, 'x')));
+  fixture.server.Drain();
+  CHECK(fixture.server.HasUnsentResponses());
+  CHECK(RunUntil(
+      fixture.loop, [&] { return !fixture.server.HasUnsentResponses(); },
+      std::chrono::seconds(12)));
+}
+
 TEST_CASE("a new connection evicts the one that has been idle longest", "[http_server]") {
   HttpFixture fixture;
   fixture.server.limits().max_connections = 2;
