--- a/packages/fleet/include/dogwoodport/fleet/instance.h
+++ b/packages/fleet/include/dogwoodport/fleet/instance.h
@@ -127,6 +127,9 @@
   void ReadTableFromStore();
   void PublishTable(const KeyTable& table);
   CoordinatorPorts MakePorts();
+  /// Sends a grant or a release.
+  void CallTarget(const std::string& address, net::HttpRequest request, Duration timeout,
+                  net::CallConnection connection, net::HttpCaller::Callback done);
   BucketRates KeyLoad(const std::string& service);
   double CapacityOf(const Target& target) const;
 
@@ -164,6 +167,7 @@
   net::HttpServer readiness_;
   net::HttpServer metrics_;
   net::HttpCaller caller_;
+  std::uint64_t calls_to_targets_ = 0;
   PeerExchange peers_;
   KeyCoordinator coordinator_;
   /// Contacts of all instances with the targets' feed.
--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
@@ -76,7 +76,7 @@
   std::function<TimePoint()> now;
   /// Calls a target.
   std::function<void(const std::string& address, const net::HttpRequest& request, Duration timeout,
-                     net::HttpCaller::Callback done)>
+                     net::CallConnection connection, net::HttpCaller::Callback done)>
       call;
   /// Returns the names of the keyed services.
   std::function<std::vector<std::string>()> services;
--- a/packages/fleet/include/dogwoodport/fleet/target_protocol.h
+++ b/packages/fleet/include/dogwoodport/fleet/target_protocol.h
@@ -107,6 +107,9 @@
 
   virtual net::HttpRequest MakeGrant(const TargetEntry& target, const Grant& grant) const = 0;
   virtual net::HttpRequest MakeRelease(const TargetEntry& target, const Grant& grant) const = 0;
+  /// Sets the id of a grant or release call. A target may repeat it in its response, see
+  /// `ResponseFields::request_id`.
+  virtual void SetCallId(net::HttpRequest& call, const std::string& id) const = 0;
   /// Returns the handover token from the response to a release call.
   virtual std::string ReadHandover(const net::HttpResponse& response) const = 0;
 
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -125,6 +125,25 @@
   });
 }
 
+void Instance::CallTarget(const std::string& address, net::HttpRequest request, Duration timeout,
+                          net::CallConnection connection, net::HttpCaller::Callback done) {
+  const std::string id = settings_.peer_address + "-" + std::to_string(settings_.incarnation) +
+                         "-" + std::to_string(++calls_to_targets_);
+  protocol_.SetCallId(request, id);
+  caller_.Call(address, request, timeout, std::move(done), connection,
+               [this, id, address](const net::HttpResponse& response) {
+                 const std::string answered = protocol_.ReadResponse(response).request_id;
+                 // Some targets repeat only the ids of forwarded requests.
+                 if (answered.empty() || answered == id) return true;
+                 log_.Write(LogLevel::kWarning, "foreign_call_answer",
+                            {{"address", address},
+                             {"status", response.status},
+                             {"call_id", id},
+                             {"answer_id", answered}});
+                 return false;
+               });
+}
+
 CoordinatorPorts Instance::MakePorts() {
   CoordinatorPorts ports;
   ports.store = &store_;
@@ -135,8 +154,8 @@
   // process was suspended.
   ports.now = [this] { return loop_.Refresh(); };
   ports.call = [this](const std::string& address, const net::HttpRequest& request, Duration timeout,
-                      net::HttpCaller::Callback done) {
-    caller_.Call(address, request, timeout, std::move(done));
+                      net::CallConnection connection, net::HttpCaller::Callback done) {
+    CallTarget(address, request, timeout, connection, std::move(done));
   };
   ports.services = [this] {
     std::vector<std::string> names;
--- a/packages/fleet/src/ownership/key_coordinator_moves.cc
+++ b/packages/fleet/src/ownership/key_coordinator_moves.cc
@@ -165,7 +165,8 @@
   // request.
   const Duration timeout = std::max(settings_.call_timeout, FreeAt(release) - ports_.now());
   ports_.call(previous->entry.address, ports_.protocol->MakeRelease(previous->entry, grant),
-              timeout, Guarded(alive_, term_, [this, id, sent](const net::CallOutcome& outcome) {
+              timeout, net::CallConnection::kNew,
+              Guarded(alive_, term_, [this, id, sent](const net::CallOutcome& outcome) {
                 OnReleaseResponse(id, sent, outcome);
               }));
 }
@@ -197,8 +198,11 @@
   state.call_in_flight = true;
   ++grants_in_flight_[range.owner];
   const Grant grant{range.first, range.last, range.fencing_token, settings_.lease, handover};
+  // A second response to an earlier call must not confirm this one.
+  const auto connection =
+      state.confirmed ? net::CallConnection::kReused : net::CallConnection::kNew;
   ports_.call(target->entry.address, ports_.protocol->MakeGrant(target->entry, grant),
-              settings_.call_timeout,
+              settings_.call_timeout, connection,
               Guarded(alive_, term_,
                       [this, id, owner = range.owner,
                        token = range.fencing_token](const net::CallOutcome& outcome) {
--- a/packages/net/include/dogwoodport/net/http_caller.h
+++ b/packages/net/include/dogwoodport/net/http_caller.h
@@ -25,16 +25,24 @@
   return std::get_if<HttpResponse>(&outcome);
 }
 
+enum class CallConnection {
+  kReused,  ///< An idle connection, if there is one.
+  kNew,     ///< A new connection, on which no response to an earlier call can arrive.
+};
+
 class HttpCaller {
  public:
   /// Receives the outcome of a call, which has no response if it failed or timed out. Never invoked
   /// from within `Call`.
   using Callback = std::function<void(const CallOutcome&)>;
+  /// Whether a response answers the call; if unset, the next one on the connection does. Other
+  /// responses are skipped, and the connection is not used again.
+  using ResponseTest = std::function<bool(const HttpResponse&)>;
 
   HttpCaller(EventLoop& loop, PoolLimits limits) : loop_(loop), pool_(loop, std::move(limits)) {}
 
-  void Call(const std::string& address, const HttpRequest& request, Duration timeout,
-            Callback done);
+  void Call(const std::string& address, const HttpRequest& request, Duration timeout, Callback done,
+            CallConnection connection = CallConnection::kReused, ResponseTest answers = nullptr);
 
   /// Closes connections that have exceeded their idle timeout.
   void Maintain() { pool_.CloseStale(); }
--- a/packages/net/src/http_caller.cc
+++ b/packages/net/src/http_caller.cc
@@ -8,8 +8,12 @@
 /// A call in progress. Deletes itself before it invokes its callback.
 class PendingCall : public CallHandler {
  public:
-  PendingCall(EventLoop& loop, ClientConnectionPtr connection, HttpCaller::Callback done)
-      : loop_(loop), connection_(std::move(connection)), done_(std::move(done)) {}
+  PendingCall(EventLoop& loop, ClientConnectionPtr connection, HttpCaller::Callback done,
+              HttpCaller::ResponseTest answers)
+      : loop_(loop),
+        connection_(std::move(connection)),
+        done_(std::move(done)),
+        answers_(std::move(answers)) {}
 
   void Start(std::string_view bytes, bool is_head_request, Duration timeout) {
     timer_ = loop_.RunAfter(timeout, [this] {
@@ -21,6 +25,7 @@
     connection_->Send(bytes, is_head_request, this);
   }
 
+  bool Accepts(const HttpResponse& response) override { return !answers_ || answers_(response); }
   void OnResponse(HttpResponse response) override { Complete(std::move(response)); }
   void OnFailure(CallFailure /*failure*/) override { Complete(ReasonForNoResponse()); }
 
@@ -39,14 +44,18 @@
   EventLoop& loop_;
   ClientConnectionPtr connection_;
   HttpCaller::Callback done_;
+  HttpCaller::ResponseTest answers_;
   TimerId timer_;
 };
 
 }  // namespace
 
 void HttpCaller::Call(const std::string& address, const HttpRequest& request, Duration timeout,
-                      Callback done) {
-  auto* const call = new PendingCall(loop_, pool_.Acquire(address), std::move(done));
+                      Callback done, CallConnection connection, ResponseTest answers) {
+  auto* const call = new PendingCall(
+      loop_,
+      connection == CallConnection::kNew ? pool_.AcquireNew(address) : pool_.Acquire(address),
+      std::move(done), std::move(answers));
   call->Start(ToBytes(request), request.method == "HEAD", timeout);
 }
 
--- a/tests/fleet/forwarder_world.h
+++ b/tests/fleet/forwarder_world.h
@@ -73,6 +73,7 @@
                                const Grant& /*grant*/) const override {
     return {};
   }
+  void SetCallId(net::HttpRequest& /*call*/, const std::string& /*id*/) const override {}
   std::string ReadHandover(const net::HttpResponse& /*response*/) const override { return ""; }
   OperatorRecord ReadOperatorRecord(const std::string& /*key*/,
                                     const std::string& /*value*/) const override {
--- a/tests/fleet/unit-key_coordinator.cpp
+++ b/tests/fleet/unit-key_coordinator.cpp
@@ -31,6 +31,7 @@
   net::HttpRequest MakeRelease(const TargetEntry& target, const Grant& grant) const override {
     return Make("release", target, grant);
   }
+  void SetCallId(net::HttpRequest&, const std::string&) const override {}
   std::string ReadHandover(const net::HttpResponse& response) const override {
     return response.body;
   }
@@ -170,7 +171,9 @@
     ports.log = &log;
     ports.now = [this] { return now; };
     ports.call = [this, i](const std::string& address, const net::HttpRequest& request,
-                           Duration timeout, net::HttpCaller::Callback done) {
+                           Duration timeout, net::CallConnection connection,
+                           net::HttpCaller::Callback done) {
+      CountCall(request, connection);
       Call(i, address, request, timeout, std::move(done));
     };
     ports.services = [] { return std::vector<std::string>{"s"}; };
@@ -191,6 +194,17 @@
     return ports;
   }
 
+  void CountCall(const net::HttpRequest& request, net::CallConnection connection) {
+    const std::string call = request.target + " " + request.host + " " + request.body;
+    if (connection == net::CallConnection::kNew) {
+      calls_on_new_connections.insert(call);
+    } else if (request.target == "grant" && calls_on_new_connections.count(call) > 0) {
+      ++renewals;
+    } else {
+      ++first_calls_on_reused_connections;
+    }
+  }
+
   void Call(std::size_t node, const std::string& address, const net::HttpRequest& request,
             Duration timeout, const net::HttpCaller::Callback& done) {
     // A call has one outcome; a response after the time-out is discarded.
@@ -366,6 +380,10 @@
   double loss_probability = 0;
   double delay_probability = 0;
   int max_holders = 0;
+  /// Calls by their texts.
+  std::set<std::string> calls_on_new_connections;
+  std::size_t renewals = 0;
+  std::size_t first_calls_on_reused_connections = 0;
   /// Whether a coordinator is notified that the other instances follow it.
   bool followers_confirmed = false;
 };
@@ -604,6 +622,21 @@
   CHECK(world.HeldShare() == 1);
 }
 
+// On a connection that had an earlier call, a second response to it could come first.
+TEST_CASE("releases and grants without a response use new connections", "[key_coordinator]") {
+  OwnershipWorld world(5, 2, 1);
+  world.loss_probability = 0.1;
+  world.MakeCoordinator(0);
+  world.Run(Duration{4'000'000});
+  world.models["t1"].entry.phase = TargetPhase::kDraining;
+  world.Register("t1");
+  world.Run(Duration{4'000'000});
+  world.MakeCoordinator(1);
+  world.Run(Duration{4'000'000});
+  CHECK(world.renewals > 0);
+  CHECK(world.first_calls_on_reused_connections == 0);
+}
+
 /// Lets "t1" release its keys slowly until a move of a piece of them has been recorded.
 void StartSlowMove(OwnershipWorld& world, std::size_t node) {
   world.models["t1"].work = Duration{1'500'000};
--- a/tests/net/unit-http_caller.cpp
+++ b/tests/net/unit-http_caller.cpp
@@ -20,16 +20,14 @@
 
 /// Runs the loop until a call has ended and returns its outcome.
 CallOutcome CallAndWait(EventLoop& loop, HttpCaller& caller, const std::string& address,
-                        Duration timeout) {
+                        Duration timeout, HttpCaller::ResponseTest answers = nullptr,
+                        CallConnection connection = CallConnection::kReused) {
   std::optional<CallOutcome> result;
-  caller.Call(address, MakePost(address), timeout,
-              [&result](const CallOutcome& outcome) { result = outcome; });
-  TimerId guard = loop.RunAfter(std::chrono::seconds(10), [&loop] { loop.Stop(); });
-  loop.Run([&] {
-    if (result) loop.Stop();
-  });
-  loop.Cancel(guard);
-  REQUIRE(result);
+  caller.Call(
+      address, MakePost(address), timeout,
+      [&result](const CallOutcome& outcome) { result = outcome; }, connection, std::move(answers));
+  REQUIRE(RunUntil(
+      loop, [&] { return result.has_value(); }, std::chrono::seconds(10)));
   return *result;
 }
 
@@ -70,5 +68,68 @@
   CHECK(std::get<NoResponse>(outcome) == NoResponse::kNotSent);
 }
 
+struct SecondResponseCase {
+  const char* description;
+  /// Sent when the second call arrives.
+  std::string bytes;
+  /// Body of the response to the second call; unset if it has none.
+  std::optional<std::string> answer;
+};
+
+/// Returns a response with the id of a call.
+std::string ResponseBytes(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 1\r\n\r\n" + id;
+}
+
+TEST_CASE("a second response to an earlier call does not answer a call", "[http_caller]") {
+  const std::string first = ResponseBytes("1");
+  const std::string second = ResponseBytes("2");
+  const std::string both = first + second;
+  const std::string no_id = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  const auto test_case = GENERATE_COPY(
+      values<SecondResponseCase>({{"no second response", second, "2"},
+                                  {"a second response before the response", both, "2"},
+                                  {"a second response only", first, std::nullopt},
+                                  {"a response without an id", no_id, std::nullopt}}));
+  INFO(test_case.description);
+  EventLoop loop;
+  std::size_t requests = 0;
+  ScriptedTarget target(loop, [&](const std::string&, std::size_t) {
+    return Reaction{++requests == 1 ? first : test_case.bytes, Reaction::End::kKeepOpen, "",
+                    Duration{0}};
+  });
+  HttpCaller caller(loop, PoolLimits{});
+  const auto answers = [](const std::string& id) {
+    return [id](const HttpResponse& response) {
+      const std::string* const answered = response.fields.Find("Id");
+      return answered != nullptr && *answered == id;
+    };
+  };
+  const Duration timeout = std::chrono::milliseconds(200);
+  REQUIRE(ResponseOf(CallAndWait(loop, caller, target.address(), timeout, answers("1"))));
+  const CallOutcome outcome = CallAndWait(loop, caller, target.address(), timeout, answers("2"));
+  CHECK(target.connections() == 1);
+  if (test_case.answer) {
+    REQUIRE(ResponseOf(outcome) != nullptr);
+    CHECK(ResponseOf(outcome)->body == *test_case.answer);
+  } else {
+    REQUIRE(ResponseOf(outcome) == nullptr);
+    CHECK(std::get<NoResponse>(outcome) == NoResponse::kUnanswered);
+  }
+}
+
+TEST_CASE("a call may require a new connection", "[http_caller]") {
+  const auto connection = GENERATE(CallConnection::kReused, CallConnection::kNew);
+  EventLoop loop;
+  ScriptedTarget target(loop, [&](const std::string&, std::size_t) {
+    return Reaction{ResponseBytes("1"), Reaction::End::kKeepOpen, "", Duration{0}};
+  });
+  HttpCaller caller(loop, PoolLimits{});
+  const Duration timeout = std::chrono::seconds(5);
+  REQUIRE(ResponseOf(CallAndWait(loop, caller, target.address(), timeout)));
+  REQUIRE(ResponseOf(CallAndWait(loop, caller, target.address(), timeout, nullptr, connection)));
+  CHECK(target.connections() == (connection == CallConnection::kNew ? 2 : 1));
+}
+
 }  // namespace
 }  // namespace dogwoodport::net
--- a/tests/platform/unit-wire_protocol.cpp
+++ b/tests/platform/unit-wire_protocol.cpp
@@ -201,6 +201,17 @@
   CHECK(release.body == R"({"fence":12,"from":4096,"target":8191})");
 }
 
+TEST_CASE("the id of a grant or release is the one that targets repeat", "[wire_protocol]") {
+  net::HttpRequest call = WireProtocol().MakeRelease(fleet::TargetEntry{}, fleet::Grant{});
+  WireProtocol().SetCallId(call, "i1-7");
+  const std::string* const id = call.fields.Find("X-Dogwoodport-Request-Id");
+  REQUIRE(id != nullptr);
+  CHECK(*id == "i1-7");
+  net::HttpResponse response;
+  response.fields.Add("X-Dogwoodport-Request-Id", *id);
+  CHECK(WireProtocol().ReadResponse(response).request_id == "i1-7");
+}
+
 struct DurationExample {
   const char* text;
   std::optional<Duration> value;
