--- a/tests/net/unit-http_server.cpp
+++ b/tests/net/unit-http_server.cpp
@@ -54,32 +54,60 @@
   CHECK(busy.received.find("done") != std::string::npos);
 }
 
-/// Larger than what the operating system buffers for one connection.
+/// Larger than what the operating system buffers for a connection of `SlowClient`.
 constexpr std::size_t kLargeBodyBytes = 32'000'000;
 
-/// A client that reads for a moment after each pause.
-class SlowClient {
+/// A client that pauses each time it has read a number of bytes, however fast it reads them. The
+/// system does not enlarge its receive buffer, which could otherwise hold a whole large body.
+class SlowClient : public RawClient {
  public:
-  SlowClient(EventLoop& loop, const std::string& address) : client(loop, address), loop_(loop) {}
-  ~SlowClient() { loop_.Cancel(timer_); }
+  SlowClient(EventLoop& loop, const std::string& address)
+      : RawClient(loop, Connect(address)), loop_(loop) {}
+  ~SlowClient() override { loop_.Cancel(timer_); }
   SlowClient(const SlowClient&) = delete;
   SlowClient& operator=(const SlowClient&) = delete;
 
-  void Read(Duration pause) {
+  void StopReading() {
     loop_.Cancel(timer_);
-    client.stream->SetReading(true);
-    timer_ = loop_.RunAfter(kReadTime, [this, pause] {
-      client.stream->SetReading(false);
-      timer_ = loop_.RunAfter(pause, [this, pause] { Read(pause); });
-    });
+    stream->SetReading(false);
   }
+  /// Reads `step_bytes` before each pause of `pause`.
+  void ReadInSteps(std::size_t step_bytes, Duration pause) {
+    step_bytes_ = step_bytes;
+    pause_ = pause;
+    StartStep();
+  }
+  void ReadWithoutPause() { ReadInSteps(kLargeBodyBytes * 2, Duration{0}); }
 
-  RawClient client;
+  void OnInput() override {
+    RawClient::OnInput();
+    if (received.size() < step_end_) return;
+    StopReading();
+    timer_ = loop_.RunAfter(pause_, [this] { StartStep(); });
+  }
 
  private:
-  static constexpr Duration kReadTime{3'000};
+  static constexpr int kReceiveBufferBytes = 512 * 1024;
+
+  static Poco::Net::StreamSocket Connect(const std::string& address) {
+    const Poco::Net::SocketAddress to(address);
+    Poco::Net::StreamSocket socket;
+    socket.init(to.af());
+    socket.setReceiveBufferSize(kReceiveBufferBytes);
+    socket.connect(to);
+    return socket;
+  }
+
+  void StartStep() {
+    loop_.Cancel(timer_);
+    step_end_ = received.size() + step_bytes_;
+    stream->SetReading(true);
+  }
 
   EventLoop& loop_;
+  std::size_t step_bytes_ = kLargeBodyBytes * 2;
+  std::size_t step_end_ = kLargeBodyBytes * 2;
+  Duration pause_{0};
   TimerId timer_;
 };
 
@@ -87,11 +115,11 @@
   const bool drains = GENERATE(true, false);
   CAPTURE(drains);
   HttpFixture fixture;
-  fixture.server.limits().idle_timeout = std::chrono::milliseconds(500);
+  fixture.server.limits().idle_timeout = std::chrono::milliseconds(1'000);
   SlowClient slow(fixture.loop, fixture.server.address());
-  slow.client.stream->Write(Get("/1"));
+  slow.stream->Write(Get("/1"));
   REQUIRE(fixture.RunUntil([&] { return fixture.exchanges.size() == 1; }));
-  slow.client.stream->SetReading(false);
+  slow.StopReading();
   fixture.exchanges[0]->Respond(HttpFixture::Text(std::string(kLargeBodyBytes, 'x')));
   if (drains) {
     fixture.server.Drain();
@@ -100,14 +128,15 @@
   }
   // Reading takes longer than the idle timeout, or than a closed connection may make no progress.
   const Duration reading_time = std::chrono::milliseconds(drains ? 5'500 : 2'500);
-  slow.Read(std::chrono::milliseconds(300));
+  slow.ReadInSteps(256UL * 1024, std::chrono::milliseconds(100));
   fixture.loop.RunAfter(reading_time, [&] { fixture.loop.Stop(); });
   fixture.loop.Run();
-  REQUIRE(slow.client.received.size() < kLargeBodyBytes);
+  REQUIRE(slow.received.size() < kLargeBodyBytes);
   CHECK(fixture.server.HasUnsentResponses() == drains);
-  slow.Read(Duration{0});
+  CHECK(fixture.server.open_connections() == (drains ? 0 : 1));
+  slow.ReadWithoutPause();
   REQUIRE(RunUntil(
-      fixture.loop, [&] { return slow.client.received.size() > kLargeBodyBytes; },
+      fixture.loop, [&] { return slow.received.size() > kLargeBodyBytes; },
       std::chrono::seconds(30)));
   CHECK_FALSE(fixture.server.HasUnsentResponses());
 }
@@ -115,9 +144,9 @@
 TEST_CASE("a client that stops reading does not keep its response", "[http_server]") {
   HttpFixture fixture;
   SlowClient stalled(fixture.loop, fixture.server.address());
-  stalled.client.stream->Write(Get("/1"));
+  stalled.stream->Write(Get("/1"));
   REQUIRE(fixture.RunUntil([&] { return fixture.exchanges.size() == 1; }));
-  stalled.client.stream->SetReading(false);
+  stalled.StopReading();
   fixture.exchanges[0]->Respond(HttpFixture::Text(std::string(kLargeBodyBytes, 'x')));
   fixture.server.Drain();
   CHECK(fixture.server.HasUnsentResponses());
