--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_coordinator.h
@@ -107,6 +107,8 @@
   /// Starts an attempt to take the role; `leading` reports the outcome. Has no effect while an
   /// attempt is running.
   void TakeOver();
+  /// Notes that the store has a record of `generation`.
+  void ObserveGeneration(std::uint64_t generation);
   /// Leaves the role or ends an attempt to take it, and logs `reason`. Nothing is written to the
   /// store, because another instance may already have the role.
   void StepDown(const char* reason);
@@ -160,8 +162,8 @@
     TimePoint last_grant_at{};
     /// Whether the previous owner has confirmed this coordinator's token.
     bool token_confirmed = false;
-    /// Whether no coordinator has renewed the grant since the take-over of this one.
-    bool renewals_ended = false;
+    /// Whether the move was begun by an earlier coordinator.
+    bool inherited = false;
     TimePoint next_call_at{};
   };
 
@@ -174,8 +176,14 @@
   void StartLeading(KeyTable table, std::uint64_t offset, TimePoint sent_at);
   void ReadBeforeTakeOver();
   void AppendTakeOver(KeyTable table, std::uint64_t feed_end);
-  /// Adds the previous coordinator to those that may still renew grants.
+  /// Adds the previous coordinator to those that may still renew grants, and removes those that no
+  /// longer renew any.
   void AddPredecessor(KeyTable& table);
+  /// Returns the time from which no coordinator of `generation` or an earlier one renews grants.
+  /// The store must have a record of a later generation.
+  TimePoint RenewalsEndAt(std::uint64_t generation) const;
+  /// Whether no coordinator before this one renews grants, by the reports of the instances.
+  bool EarlierRenewersFollow() const;
   void ConfirmRole();
   void OnConfirmed(TimePoint sent_at, const ReadOutcome& outcome);
 
@@ -235,8 +243,11 @@
   LendingStart lending_start_;
   /// Time from which no earlier coordinator renews grants.
   TimePoint sole_leader_from_{};
-  /// Whether no coordinator renews grants of the ranges that were moving at the take-over.
-  bool inherited_renewals_ended_ = false;
+  /// Time from which no coordinator renews grants of the ranges that were moving at the take-over.
+  TimePoint inherited_renewals_end_at_{};
+  /// Generations in the store and the times at which this instance learned of them, in ascending
+  /// order.
+  std::vector<std::pair<std::uint64_t, TimePoint>> observed_generations_;
   TimePoint confirmed_at_{};
   TimePoint plan_at_{};
   /// Table whose append has no known outcome yet. Until the outcome is known, no destination
--- a/packages/fleet/include/dogwoodport/fleet/ownership/key_table.h
+++ b/packages/fleet/include/dogwoodport/fleet/ownership/key_table.h
@@ -45,6 +45,14 @@
 /// Ranges of one service in ascending order, without gaps.
 using KeyRanges = std::vector<KeyRange>;
 
+/// A coordinator that has been replaced but may still renew grants.
+struct EarlierRenewer {
+  std::string address;
+  std::uint64_t generation = 0;
+
+  MSGPACK_DEFINE_ARRAY(address, generation)
+};
+
 /// Complete ownership state decided by the coordinator.
 struct KeyTable {
   /// Offset of the record by which the current coordinator took over; also its fencing token.
@@ -58,10 +66,10 @@
   std::map<std::string, KeyRanges> services;
   /// See `LendingStart::takeovers`.
   int takeovers = 0;
-  /// Addresses of the coordinators before `coordinator` that may still renew grants; unset if they
-  /// are not known. A record with this field also states that `coordinator` renews no grant of a
-  /// key from the time on at which it began to record that the key moves.
-  std::optional<std::vector<std::string>> earlier_renewers;
+  /// The coordinators before `coordinator` that may still renew grants; unset if they are not
+  /// known. A record with this field also states that `coordinator` renews no grant of a key from
+  /// the time on at which it began to record that the key moves.
+  std::optional<std::vector<EarlierRenewer>> earlier_renewers;
 
   MSGPACK_DEFINE_ARRAY(generation, coordinator, serial, revision, services, takeovers,
                        earlier_renewers)
--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -103,6 +103,7 @@
 
 void Instance::AdoptTable(KeyTable table, const char* source) {
   if (coordinator_.leading() || !table.NewerThan(view_.keys)) return;
+  coordinator_.ObserveGeneration(table.generation);
   log_.Write(LogLevel::kInfo, "owners_changed",
              {{"generation", table.generation}, {"revision", table.revision}, {"source", source}});
   view_.keys = std::move(table);
--- a/packages/fleet/src/ownership/key_coordinator.cc
+++ b/packages/fleet/src/ownership/key_coordinator.cc
@@ -64,16 +64,45 @@
       }));
 }
 
+void KeyCoordinator::ObserveGeneration(std::uint64_t generation) {
+  const TimePoint now = ports_.now();
+  if (!observed_generations_.empty() && generation <= observed_generations_.back().first) return;
+  observed_generations_.emplace_back(generation, now);
+  // Of those that have ended all renewals of earlier generations, the last one is enough.
+  const auto recent = std::find_if(
+      observed_generations_.begin() + 1, observed_generations_.end(),
+      [&](const auto& it) { return now - it.second < settings_.unconfirmed_renewal_limit; });
+  observed_generations_.erase(observed_generations_.begin(), recent - 1);
+}
+
+TimePoint KeyCoordinator::RenewalsEndAt(std::uint64_t generation) const {
+  const auto replaced =
+      std::find_if(observed_generations_.begin(), observed_generations_.end(),
+                   [generation](const auto& it) { return it.first > generation; });
+  const TimePoint replaced_at =
+      replaced == observed_generations_.end() ? ports_.now() : replaced->second;
+  return replaced_at + settings_.unconfirmed_renewal_limit;
+}
+
 void KeyCoordinator::AddPredecessor(KeyTable& table) {
+  const TimePoint now = ports_.now();
   if (lending_start_.first) table.earlier_renewers.emplace();
-  inherited_renewals_ended_ = false;
-  if (!table.earlier_renewers) return;
-  std::vector<std::string>& renewers = *table.earlier_renewers;
+  inherited_renewals_end_at_ = now;
+  if (!table.earlier_renewers) {
+    inherited_renewals_end_at_ += settings_.unconfirmed_renewal_limit;
+    return;
+  }
+  std::vector<EarlierRenewer>& renewers = *table.earlier_renewers;
   // This instance does not renew grants of its earlier terms.
-  renewers.erase(std::remove(renewers.begin(), renewers.end(), self_), renewers.end());
-  inherited_renewals_ended_ = renewers.empty();
+  const auto has_ended = [&](const EarlierRenewer& it) {
+    return it.address == self_ || RenewalsEndAt(it.generation) <= now;
+  };
+  renewers.erase(std::remove_if(renewers.begin(), renewers.end(), has_ended), renewers.end());
+  for (const EarlierRenewer& it : renewers) {
+    inherited_renewals_end_at_ = std::max(inherited_renewals_end_at_, RenewalsEndAt(it.generation));
+  }
   const bool has_predecessor = !table.coordinator.empty() && table.coordinator != self_;
-  if (has_predecessor) renewers.push_back(table.coordinator);
+  if (has_predecessor) renewers.push_back({table.coordinator, table.generation});
 }
 
 void KeyCoordinator::AppendTakeOver(KeyTable table, std::uint64_t feed_end) {
@@ -84,6 +113,7 @@
   lending_start_.predecessor_settled = table.takeovers == 0;
   const bool loans_expired =
       ports_.earlier_loans_expired && ports_.earlier_loans_expired(table.generation);
+  if (!lending_start_.first) ObserveGeneration(table.generation);
   AddPredecessor(table);
   table.takeovers = lending_start_.first ? 0 : 1 + (loans_expired ? 0 : table.takeovers);
   lending_start_.takeovers = table.takeovers;
@@ -120,9 +150,12 @@
   lending_start_.generation = table_.generation;
   lending_start_.took_over_at = took_over_at_;
   lending_start_.confirmed_at = sent_at;
-  const bool has_earlier = !table_.earlier_renewers || !table_.earlier_renewers->empty();
-  sole_leader_from_ =
-      took_over_at_ + (has_earlier ? settings_.unconfirmed_renewal_limit : Duration{0});
+  ObserveGeneration(table_.generation);
+  inherited_renewals_end_at_ = std::max(inherited_renewals_end_at_, took_over_at_);
+  sole_leader_from_ = inherited_renewals_end_at_;
+  const bool has_predecessor =
+      !lending_start_.predecessor.empty() && lending_start_.predecessor != self_;
+  if (has_predecessor) sole_leader_from_ = took_over_at_ + settings_.unconfirmed_renewal_limit;
   plan_at_ = took_over_at_;
   pending_.reset();
   resolving_ = confirming_ = false;
@@ -135,7 +168,7 @@
       if (it.previous.empty()) continue;
       ReleaseState& release = release_states_[RangeId(service, it.first)];
       release = MakeReleaseState(it, false);
-      release.renewals_ended = inherited_renewals_ended_;
+      release.inherited = true;
     }
   }
   Log(LogLevel::kInfo, "coordinator_started", {{"services", table_.services.size()}});
@@ -156,7 +189,7 @@
   if (role_ != Role::kLeading) return;
   ConfirmRole();
   if (role_ != Role::kLeading) return;
-  if (ports_.now() < sole_leader_from_ && ports_.others_follow(table_.earlier_renewers)) {
+  if (ports_.now() < sole_leader_from_ && EarlierRenewersFollow()) {
     sole_leader_from_ = ports_.now();
   }
   RenewRanges();
@@ -167,6 +200,13 @@
   }
 }
 
+bool KeyCoordinator::EarlierRenewersFollow() const {
+  if (!table_.earlier_renewers) return ports_.others_follow(std::nullopt);
+  std::vector<std::string> addresses;
+  for (const EarlierRenewer& it : *table_.earlier_renewers) addresses.push_back(it.address);
+  return ports_.others_follow(addresses);
+}
+
 void KeyCoordinator::ConfirmRole() {
   if (confirming_ || pending_) return;
   confirming_ = true;
--- a/packages/fleet/src/ownership/key_coordinator_moves.cc
+++ b/packages/fleet/src/ownership/key_coordinator_moves.cc
@@ -40,7 +40,10 @@
 
 TimePoint KeyCoordinator::EarlierGrantsEndAt(const ReleaseState& release) const {
   if (RefusesEarlierGrants(release)) return TimePoint{};
-  return (release.renewals_ended ? took_over_at_ : sole_leader_from_) + MaxHoldTime();
+  const TimePoint renewals_end_at = release.inherited
+                                        ? std::min(inherited_renewals_end_at_, sole_leader_from_)
+                                        : sole_leader_from_;
+  return renewals_end_at + MaxHoldTime();
 }
 
 TimePoint KeyCoordinator::FreeAt(const ReleaseState& release) const {
--- a/tests/fleet/unit-key_coordinator.cpp
+++ b/tests/fleet/unit-key_coordinator.cpp
@@ -143,6 +143,7 @@
     for (std::size_t i = 0; i < targets; ++i) AddTarget("t" + std::to_string(i));
     for (std::size_t i = 0; i < coordinators; ++i) {
       alive.push_back(true);
+      lost_for_good.push_back(false);
       sides.push_back(0);
       stores.push_back(std::make_unique<PartitionedStore>(store));
       directories.push_back(std::make_unique<TargetDirectory>());
@@ -183,14 +184,20 @@
     ports.may_grow = ports.may_own;
     ports.others_follow = [this, i](const std::optional<std::vector<std::string>>& addresses) {
       for (std::size_t other = 0; other < nodes.size(); ++other) {
-        if (other == i || !alive[other]) continue;
+        if (other == i || (!alive[other] && !lost_for_good[other])) continue;
         const std::string address = "c" + std::to_string(other);
         const bool counts = !addresses || std::count(addresses->begin(), addresses->end(), address);
-        if (counts && (nodes[other]->leading() || sides[other] != sides[i])) return false;
+        const bool follows = alive[other] && !nodes[other]->leading() && sides[other] == sides[i];
+        if (counts && !follows) return false;
       }
       return followers_confirmed;
     };
-    ports.on_table = [](const KeyTable&) {};
+    ports.on_table = [this, i](const KeyTable& table) {
+      for (std::size_t other = 0; other < nodes.size(); ++other) {
+        const bool hears = alive[other] && sides[other] == sides[i];
+        if (hears) nodes[other]->ObserveGeneration(table.generation);
+      }
+    };
     return ports;
   }
 
@@ -374,6 +381,8 @@
   std::map<std::string, ModelTarget> models;
   std::multimap<TimePoint, std::function<void()>> events;
   std::vector<bool> alive;
+  /// By coordinator: whether no new process takes its place and reports that it follows.
+  std::vector<bool> lost_for_good;
   std::vector<int> sides;
   std::vector<std::unique_ptr<PartitionedStore>> stores;
   std::vector<std::unique_ptr<KeyCoordinator>> nodes;
@@ -665,6 +674,39 @@
   CHECK(world.max_holders == 1);
 }
 
+TEST_CASE("earlier coordinators that no longer renew do not delay an inherited move",
+          "[key_coordinator][restarted]") {
+  // Time for which a coordinator leads before it moves keys, and number of coordinators that are
+  // lost for good. The others start again and report that they follow.
+  const auto [lead, lost] = GENERATE(table<Duration, std::size_t>(
+      {{Duration{7'200'000}, 3}, {Duration{7'200'000}, 1}, {Duration{1'500'000}, 0}}));
+  INFO("leads for " << lead.count() << " us, " << lost << " lost");
+  OwnershipWorld world(5, 4, 1);
+  const auto replace = [&world, lost = lost](std::size_t node) {
+    world.alive[node] = false;
+    world.lost_for_good[node] = node < lost;
+    world.Run(Duration{1'300'000});
+    world.MakeCoordinator(node + 1);
+  };
+  world.MakeCoordinator(0);
+  world.Run(Duration{4'000'000});
+  // No coordinator leads for so long that it knows itself that no earlier one renews.
+  replace(0);
+  world.Run(Duration{3'000'000});
+  replace(1);
+  const TimePoint took_over_at = world.now;
+  world.Run(lead);
+  StartSlowMove(world, 2);
+  REQUIRE(world.now - took_over_at < CoordinatorSettings{}.unconfirmed_renewal_limit);
+  world.models["t1"].work = Duration{0};
+  world.followers_confirmed = true;
+  replace(2);
+  world.Run(Duration{6'600'000});
+  CHECK(world.HeldShare() == 1);
+  CHECK(world.nodes[3]->table().earlier_renewers->empty() == (lost < 3));
+  CHECK(world.max_holders == 1);
+}
+
 TEST_CASE("a move that a new coordinator has begun waits for the one before it",
           "[key_coordinator][restarted]") {
   CoordinatorSettings settings;
