--- a/tests/fleet/unit-key_coordinator.cpp
+++ b/tests/fleet/unit-key_coordinator.cpp
@@ -646,16 +646,18 @@
   CHECK(world.first_calls_on_reused_connections == 0);
 }
 
-/// Lets "t1" release its keys slowly until a move of a piece of them has been recorded.
-void StartSlowMove(OwnershipWorld& world, std::size_t node) {
+/// Lets "t1" release its keys slowly until a move of a piece of them has been recorded. Returns the
+/// piece.
+KeyRange StartSlowMove(OwnershipWorld& world, std::size_t node) {
   world.models["t1"].work = Duration{1'500'000};
   for (std::size_t i = kBucketCount / 5; i < kBucketCount * 3 / 10; ++i) world.load[i] += 0.2;
-  const auto is_moving = [&] {
+  while (true) {
     const KeyRanges& ranges = world.nodes[node]->table().services.at("s");
-    return std::any_of(ranges.begin(), ranges.end(),
-                       [](const KeyRange& it) { return it.previous == "t1"; });
-  };
-  while (!is_moving()) world.Run(kStep);
+    const auto moving = std::find_if(ranges.begin(), ranges.end(),
+                                     [](const KeyRange& it) { return it.previous == "t1"; });
+    if (moving != ranges.end()) return *moving;
+    world.Run(kStep);
+  }
 }
 
 TEST_CASE("a move that a lost coordinator has begun ends once its grants have run out",
@@ -679,14 +681,11 @@
   OwnershipWorld world(5, 2, 1);
   world.MakeCoordinator(0);
   world.Run(Duration{4'000'000});
-  StartSlowMove(world, 0);
+  const KeyRange moving = StartSlowMove(world, 0);
   world.load.assign(kBucketCount, 0.01);
-  const KeyRanges& ranges = world.nodes[0]->table().services.at("s");
-  const auto moving = std::find_if(ranges.begin(), ranges.end(),
-                                   [](const KeyRange& it) { return it.previous == "t1"; });
-  const std::string destination = moving->owner;
+  const std::string& destination = moving.owner;
   const TimePoint& held_until =
-      world.models[destination].until[(moving->first + kSampleDistance - 1) / kSampleDistance];
+      world.models[destination].until[(moving.first + kSampleDistance - 1) / kSampleDistance];
   for (int i = 0; i < 300 && held_until <= world.now; ++i) world.Run(kStep);
   REQUIRE(held_until > world.now);
   // The end of the move is not recorded: the coordinator, the holder and the destination are cut
