--- a/packages/client/src/request_story.cc
+++ b/packages/client/src/request_story.cc
@@ -106,6 +106,7 @@
   } else if (event == "not_run") {
     out << "target " << target << " answered " << fields.value("status", 0)
         << " without running it";
+    if (fields.contains("connection")) out << ", on connection " << fields["connection"];
   } else if (event == "served" || event == "target_error") {
     out << "target " << target << " answered " << fields.value("status", 0);
   } else if (event == "foreign_answer") {
--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -73,6 +73,8 @@
   std::uint64_t retries = 0;
   /// Attempts whose connection broke or that got no valid response.
   std::uint64_t lost_attempts = 0;
+  /// Responses with the id of another request.
+  std::uint64_t foreign_responses = 0;
   std::uint64_t abandoned = 0;
   std::array<std::uint64_t, kRefusalCount> refusals{};
 };
@@ -124,6 +126,8 @@
   const RequestMetrics& metrics() const noexcept { return metrics_; }
   std::size_t waiting() const;
   std::uint64_t connections_opened() const noexcept { return pool_.opened(); }
+  /// Number of idle connections on which a target has sent bytes.
+  std::uint64_t unsolicited_responses() const noexcept { return pool_.unsolicited(); }
   /// Returns the typical latency of a service, or zero if it has not served a request yet.
   Duration TypicalLatency(const std::string& service) const;
 
--- a/packages/fleet/src/instance.cc
+++ b/packages/fleet/src/instance.cc
@@ -446,6 +446,8 @@
   line("answers_total", counters.responses);
   line("retries_total", counters.retries);
   line("lost_attempts_total", counters.lost_attempts);
+  line("foreign_responses_total", counters.foreign_responses);
+  line("unsolicited_responses_total", forwarder_.unsolicited_responses());
   line("abandoned_total", counters.abandoned);
   for (std::size_t i = 0; i < counters.refusals.size(); ++i) {
     line(std::string("refusals_total{reason=\"") + NameOf(static_cast<Refusal>(i)) + "\"}",
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -80,7 +80,14 @@
       log_(log),
       settings_(settings),
       pool_(loop, PoolLimitsFor(settings)),
-      random_(seed) {}
+      random_(seed) {
+  pool_.on_unsolicited = [this](const net::ClientConnection& connection) {
+    log_.Write(LogLevel::kWarning, "unsolicited_answer",
+               {{"address", connection.address()},
+                {"connection", connection.number()},
+                {"connection_calls", connection.calls()}});
+  };
+}
 
 Forwarder::~Forwarder() = default;
 
@@ -481,6 +488,10 @@
   if (request.service != nullptr) fields["service"] = request.service->name;
   if (!request.account.empty()) fields["account"] = request.account;
   if (!request.tried_targets.empty()) fields["target"] = request.tried_targets.back();
+  if (request.connection) {
+    fields["connection"] = request.connection->number();
+    fields["connection_calls"] = request.connection->calls();
+  }
   if (request.config) fields["config_version"] = request.config->version();
   log_.Write(level, event, fields);
 }
--- a/packages/fleet/src/requests/forwarder_request.h
+++ b/packages/fleet/src/requests/forwarder_request.h
@@ -40,6 +40,7 @@
   bool Accepts(const net::HttpResponse& response) override {
     const ResponseFields fields = forwarder.protocol_.ReadResponse(response);
     if (fields.request_id == caller.request_id) return true;
+    ++forwarder.counters_.foreign_responses;
     forwarder.LogRequest(LogLevel::kWarning, "foreign_answer", *this,
                          {{"status", response.status}, {"answer_id", fields.request_id}});
     return false;
--- a/packages/net/include/dogwoodport/net/connection_pool.h
+++ b/packages/net/include/dogwoodport/net/connection_pool.h
@@ -28,6 +28,9 @@
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
+  /// Called when bytes have arrived on an idle connection, which is closed next.
+  std::function<void(const ClientConnection&)> on_unsolicited;
+
   /// Returns the most recently used idle connection to `address`, or a new one. The caller keeps
   /// the pointer until its call has ended; releasing it earlier closes the connection.
   ClientConnectionPtr Acquire(const std::string& address);
@@ -39,6 +42,8 @@
   std::size_t IdleCount(const std::string& address) const;
   /// Number of connections opened since construction.
   std::uint64_t opened() const noexcept { return opened_; }
+  /// Number of idle connections on which bytes have arrived since construction.
+  std::uint64_t unsolicited() const noexcept { return unsolicited_; }
 
   /// Closes connections that have exceeded their idle timeout. Complexity: linear in the number of
   /// connections.
@@ -53,11 +58,13 @@
   bool IsReusable(const ClientConnection& connection) const;
   void OnIdle(ClientConnection* connection);
   void OnClosed(ClientConnection* connection);
+  void OnUnsolicited(const ClientConnection& connection);
 
   EventLoop& loop_;
   PoolLimits limits_;
   std::unordered_map<std::string, Bucket> buckets_;
   std::uint64_t opened_ = 0;
+  std::uint64_t unsolicited_ = 0;
 };
 
 }  // namespace dogwoodport::net
--- a/packages/net/include/dogwoodport/net/http_client.h
+++ b/packages/net/include/dogwoodport/net/http_client.h
@@ -37,15 +37,25 @@
   virtual bool Accepts(const HttpResponse& /*response*/) { return true; }
 };
 
+class ClientConnection;
+
+/// Functions that a connection calls for its owner.
+struct ConnectionEvents {
+  /// The connection is ready for the next call.
+  std::function<void(ClientConnection*)> on_idle;
+  /// The connection has been closed.
+  std::function<void(ClientConnection*)> on_closed;
+  /// Bytes have arrived while no call was in progress; the connection is closed next.
+  std::function<void(ClientConnection*)> on_unsolicited;
+};
+
 /// A connection to `address` that carries one call at a time.
 class ClientConnection : public StreamHandler,
                          public boost::intrusive_ref_counter<ClientConnection> {
  public:
-  /// `on_idle` is called when the connection is ready for the next call, `on_closed` when it has
-  /// been closed.
-  ClientConnection(EventLoop& loop, std::string address, MessageLimits limits,
-                   std::function<void(ClientConnection*)> on_idle,
-                   std::function<void(ClientConnection*)> on_closed);
+  /// `number` identifies the connection in logs.
+  ClientConnection(EventLoop& loop, std::string address, std::uint64_t number, MessageLimits limits,
+                   ConnectionEvents events);
   ~ClientConnection() override;
 
   /// Starts to connect. Called once, after construction.
@@ -60,6 +70,9 @@
   void Abort();
 
   const std::string& address() const noexcept { return address_; }
+  std::uint64_t number() const noexcept { return number_; }
+  /// Number of calls started on the connection.
+  std::uint64_t calls() const noexcept { return calls_; }
   bool busy() const noexcept { return handler_ != nullptr; }
   bool open() const noexcept { return stream_ && stream_->open(); }
   /// Whether any byte of the current call may have been sent.
@@ -81,13 +94,14 @@
 
   EventLoop& loop_;
   std::string address_;
+  std::uint64_t number_;
   MessageLimits limits_;
-  std::function<void(ClientConnection*)> on_idle_;
-  std::function<void(ClientConnection*)> on_closed_;
+  ConnectionEvents events_;
   StreamPtr stream_;
   CallHandler* handler_ = nullptr;
   ResponseParser parser_;
   std::string unsent_request_;
+  std::uint64_t calls_ = 0;
   bool is_head_request_ = false;
   bool saw_foreign_response_ = false;
   /// Responses of the current call that were skipped: interim ones and those to other requests.
--- a/packages/net/src/connection_pool.cc
+++ b/packages/net/src/connection_pool.cc
@@ -44,9 +44,12 @@
 ClientConnectionPtr ConnectionPool::AcquireNew(const std::string& address) {
   ++buckets_[address].count;
   ++opened_;
-  ClientConnectionPtr connection(new ClientConnection(
-      loop_, address, limits_.message, [this](ClientConnection* it) { OnIdle(it); },
-      [this](ClientConnection* it) { OnClosed(it); }));
+  ConnectionEvents events;
+  events.on_idle = [this](ClientConnection* it) { OnIdle(it); };
+  events.on_closed = [this](ClientConnection* it) { OnClosed(it); };
+  events.on_unsolicited = [this](ClientConnection* it) { OnUnsolicited(*it); };
+  ClientConnectionPtr connection(
+      new ClientConnection(loop_, address, opened_, limits_.message, std::move(events)));
   connection->Open();
   return connection;
 }
@@ -75,6 +78,11 @@
   if (--it->second.count == 0) buckets_.erase(it);
 }
 
+void ConnectionPool::OnUnsolicited(const ClientConnection& connection) {
+  ++unsolicited_;
+  if (on_unsolicited) on_unsolicited(connection);
+}
+
 void ConnectionPool::CloseStale() {
   std::vector<ClientConnectionPtr> stale;
   for (auto& [address, bucket] : buckets_) {
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -56,14 +56,13 @@
   return out;
 }
 
-ClientConnection::ClientConnection(EventLoop& loop, std::string address, MessageLimits limits,
-                                   std::function<void(ClientConnection*)> on_idle,
-                                   std::function<void(ClientConnection*)> on_closed)
+ClientConnection::ClientConnection(EventLoop& loop, std::string address, std::uint64_t number,
+                                   MessageLimits limits, ConnectionEvents events)
     : loop_(loop),
       address_(std::move(address)),
+      number_(number),
       limits_(std::move(limits)),
-      on_idle_(std::move(on_idle)),
-      on_closed_(std::move(on_closed)),
+      events_(std::move(events)),
       parser_(limits_, false),
       idle_since_(loop.now()) {}
 
@@ -75,6 +74,7 @@
 
 void ClientConnection::Send(std::string_view bytes, bool is_head_request, CallHandler* handler) {
   handler_ = handler;
+  ++calls_;
   is_head_request_ = is_head_request;
   skipped_responses_ = 0;
   parser_ = ResponseParser(limits_, is_head_request);
@@ -113,7 +113,8 @@
 void ClientConnection::OnInput() {
   const ClientConnectionPtr lifetime_guard(this);
   if (handler_ == nullptr) {
-    Close();  // Unsolicited bytes.
+    if (events_.on_unsolicited) events_.on_unsolicited(this);
+    Close();
     return;
   }
   while (handler_ != nullptr && NextResponse()) {
@@ -148,7 +149,7 @@
   if (!reusable) {
     Close();
   } else if (handler_ == nullptr && open()) {
-    on_idle_(this);
+    events_.on_idle(this);
   }
 }
 
@@ -160,9 +161,9 @@
 
 void ClientConnection::Close() {
   if (stream_) stream_->Close();
-  if (on_closed_) {
+  if (events_.on_closed) {
     const ClientConnectionPtr lifetime_guard(this);
-    const auto on_closed = std::exchange(on_closed_, nullptr);
+    const auto on_closed = std::exchange(events_.on_closed, nullptr);
     on_closed(this);
   }
 }
--- a/tests/fleet/unit-repeated_refusal.cpp
+++ b/tests/fleet/unit-repeated_refusal.cpp
@@ -99,5 +99,23 @@
   CHECK(server.requests().size() == 2);
 }
 
+TEST_CASE("the log tells the connection of a refusal and of a copy that arrives while it is idle",
+          "[forwarder][repeated_refusal]") {
+  ForwarderFixture fixture(std::chrono::milliseconds(200));
+  const std::string refusal = TargetResponse("r", 503, "", "Not-Run: 1\r\n");
+  net::ScriptedTarget& target =
+      fixture.AddTarget("t1", [&](const std::string& /*request*/, std::size_t /*connection*/) {
+        return Reaction{refusal};
+      });
+  fixture.Send("/write/x", "r");
+  REQUIRE(fixture.RunUntil([&] { return fixture.log.events["not_run"] == 1; }));
+  CHECK(fixture.log.last["not_run"]["connection"] == 1);
+  CHECK(fixture.log.last["not_run"]["connection_calls"] == 1);
+  target.Write(0, refusal);
+  REQUIRE(fixture.RunUntil([&] { return fixture.log.events["unsolicited_answer"] == 1; }));
+  CHECK(fixture.log.last["unsolicited_answer"]["connection"] == 1);
+  CHECK(fixture.forwarder.unsolicited_responses() == 1);
+}
+
 }  // namespace
 }  // namespace dogwoodport::fleet
