--- a/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
+++ b/packages/fleet/include/dogwoodport/fleet/requests/forwarder.h
@@ -202,6 +202,8 @@
   /// reached a target; the retry then takes a token of the retry budget.
   bool MayRetry(const Request& request, bool reached_target);
   bool Retry(Request& request, bool reached_target);
+  /// Returns this instance's share of the connections that a target of the service accepts.
+  std::size_t MaxConnections(const Service& service) const;
   /// Whether an idle connection to the target exists, or this instance's share of the target's
   /// connections allows a new one.
   bool HasConnectionCapacity(const Target& target, const Service& service) const;
--- a/packages/fleet/src/requests/forwarder.cc
+++ b/packages/fleet/src/requests/forwarder.cc
@@ -210,7 +210,6 @@
   request.unlink();
   request.target_id = target.entry.id;
   request.target_incarnation = target.entry.incarnation;
-  const bool sent_to_target_before = request.Tried(target.entry.id);
   request.tried_targets.push_back(target.entry.id);
   ++request.send_count;
   request.sent_at = now();
@@ -224,13 +223,10 @@
   forwarded_head.has_body = original.has_body;
   protocol_.PrepareRequest(forwarded_head,
                            {request.deadline - now(), target.entry.id, request.account});
-  // On the connection of an earlier attempt, a delayed duplicate of its response could be mistaken
-  // for the response to this attempt.
-  const bool needs_new_connection = sent_to_target_before && !request.idempotent();
-  request.connection = needs_new_connection ? pool_.AcquireNew(target.entry.address)
-                                            : pool_.Acquire(target.entry.address);
+  const std::string& id = request.caller.request_id;
+  request.connection = pool_.Acquire(target.entry.address, id, MaxConnections(*request.service));
   request.connection->Send(net::ToBytes(forwarded_head, original.body),
-                           forwarded_head.method == "HEAD", &request);
+                           forwarded_head.method == "HEAD", &request, id);
   TimePoint next = request.deadline;
   if (request.idempotent() && request.send_count < request.route->max_attempts &&
       !request.service->keyed) {
--- a/packages/fleet/src/requests/forwarder_placement.cc
+++ b/packages/fleet/src/requests/forwarder_placement.cc
@@ -126,12 +126,16 @@
   return result;
 }
 
-bool Forwarder::HasConnectionCapacity(const Target& target, const Service& service) const {
-  if (service.max_connections == 0 || pool_.IdleCount(target.entry.address) > 0) return true;
+std::size_t Forwarder::MaxConnections(const Service& service) const {
+  if (service.max_connections == 0) return net::ConnectionPool::kUnlimited;
   const double share = service.max_connections * settings_.connection_share /
                        static_cast<double>(std::max<std::size_t>(1, view_.instance_count));
-  return pool_.Count(target.entry.address) <
-         std::max<std::size_t>(1, static_cast<std::size_t>(share));
+  return std::max<std::size_t>(1, static_cast<std::size_t>(share));
+}
+
+bool Forwarder::HasConnectionCapacity(const Target& target, const Service& service) const {
+  return pool_.IdleCount(target.entry.address) > 0 ||
+         pool_.Count(target.entry.address) < MaxConnections(service);
 }
 
 }  // namespace dogwoodport::fleet
--- a/packages/net/include/dogwoodport/net/connection_pool.h
+++ b/packages/net/include/dogwoodport/net/connection_pool.h
@@ -3,6 +3,7 @@
 /// @file
 /// Pool of persistent connections, reused for later requests.
 
+#include <limits>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -19,10 +20,11 @@
   Duration idle_timeout{8'000'000};
 };
 
-/// Connections grouped by address. The pool does not limit their number; the caller decides how
-/// many it opens.
+/// Connections grouped by address. The pool limits their number only where its caller asks for it.
 class ConnectionPool {
  public:
+  static constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
+
   ConnectionPool(EventLoop& loop, PoolLimits limits) : loop_(loop), limits_(std::move(limits)) {}
   ~ConnectionPool();
   ConnectionPool(const ConnectionPool&) = delete;
@@ -31,9 +33,12 @@
   /// Called when bytes have arrived on an idle connection, which is closed next.
   std::function<void(const ClientConnection&)> on_unsolicited;
 
-  /// Returns the most recently used idle connection to `address`, or a new one. The caller keeps
-  /// the pointer until its call has ended; releasing it earlier closes the connection.
-  ClientConnectionPtr Acquire(const std::string& address);
+  /// Returns the most recently used idle connection to `address` that may not repeat a response to
+  /// `call_id` (see `ClientConnection::MayRepeatResponseTo`), or a new one. If `max_count`
+  /// connections exist, a new one replaces an idle one. The caller keeps the pointer until its call
+  /// has ended; releasing it earlier closes the connection.
+  ClientConnectionPtr Acquire(const std::string& address, std::string_view call_id = {},
+                              std::size_t max_count = kUnlimited);
   /// Opens a new connection even if an idle one exists.
   ClientConnectionPtr AcquireNew(const std::string& address);
 
@@ -55,6 +60,8 @@
     std::size_t count = 0;
   };
 
+  /// Returns an idle connection as described at `Acquire`, or nullptr.
+  ClientConnectionPtr TakeIdle(const std::string& address, std::string_view call_id);
   bool IsReusable(const ClientConnection& connection) const;
   void OnIdle(ClientConnection* connection);
   void OnClosed(ClientConnection* connection);
--- a/packages/net/include/dogwoodport/net/http_client.h
+++ b/packages/net/include/dogwoodport/net/http_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <vector>
 
 #include "dogwoodport/net/http_parser.h"
 #include "dogwoodport/net/stream.h"
@@ -63,7 +64,9 @@
 
   /// Sends a serialised request. `is_head_request` must be set for HEAD, whose response has no
   /// body.
-  void Send(std::string_view bytes, bool is_head_request, CallHandler* handler);
+  /// `call_id` is the id that the response repeats; empty if it repeats none.
+  void Send(std::string_view bytes, bool is_head_request, CallHandler* handler,
+            std::string_view call_id = {});
 
   /// Closes the connection. A call in progress is aborted: its handler is not called, and the
   /// connection is reset so that bytes still in transit are never delivered.
@@ -73,6 +76,9 @@
   std::uint64_t number() const noexcept { return number_; }
   /// Number of calls started on the connection.
   std::uint64_t calls() const noexcept { return calls_; }
+  /// Whether a response to the call `call_id` that was no success has been received here. The peer
+  /// may send a copy of it, which could not be told from the response to the same call sent again.
+  bool MayRepeatResponseTo(std::string_view call_id) const;
   bool busy() const noexcept { return handler_ != nullptr; }
   bool open() const noexcept { return stream_ && stream_->open(); }
   /// Whether any byte of the current call may have been sent.
@@ -102,6 +108,10 @@
   ResponseParser parser_;
   std::string unsent_request_;
   std::uint64_t calls_ = 0;
+  std::size_t call_id_hash_ = 0;
+  bool has_call_id_ = false;
+  /// Hashes of the ids of calls whose response was no success.
+  std::vector<std::size_t> unsuccessful_calls_;
   bool is_head_request_ = false;
   bool saw_foreign_response_ = false;
   /// Responses of the current call that were skipped: interim ones and those to other requests.
--- a/packages/net/src/connection_pool.cc
+++ b/packages/net/src/connection_pool.cc
@@ -29,15 +29,32 @@
   return connection.open() && loop_.now() - connection.idle_since() < limit;
 }
 
-ClientConnectionPtr ConnectionPool::Acquire(const std::string& address) {
+ClientConnectionPtr ConnectionPool::TakeIdle(const std::string& address, std::string_view call_id) {
   // `Abort` may erase the bucket, so it is looked up in each iteration.
-  for (auto it = buckets_.find(address); it != buckets_.end() && !it->second.idle.empty();
-       it = buckets_.find(address)) {
-    ClientConnectionPtr connection = it->second.idle.back();
-    it->second.idle.pop_back();
+  for (auto bucket = buckets_.find(address); bucket != buckets_.end();
+       bucket = buckets_.find(address)) {
+    auto& idle = bucket->second.idle;
+    const auto it = std::find_if(idle.rbegin(), idle.rend(), [call_id](const auto& connection) {
+      return !connection->MayRepeatResponseTo(call_id);
+    });
+    if (it == idle.rend()) return nullptr;
+    const ClientConnectionPtr connection = *it;
+    idle.erase(std::next(it).base());
     if (IsReusable(*connection)) return connection;
     connection->Abort();
   }
+  return nullptr;
+}
+
+ClientConnectionPtr ConnectionPool::Acquire(const std::string& address, std::string_view call_id,
+                                            std::size_t max_count) {
+  if (const ClientConnectionPtr connection = TakeIdle(address, call_id)) return connection;
+  const auto bucket = buckets_.find(address);
+  if (bucket != buckets_.end() && bucket->second.count >= max_count &&
+      !bucket->second.idle.empty()) {
+    const ClientConnectionPtr oldest = bucket->second.idle.front();
+    oldest->Abort();
+  }
   return AcquireNew(address);
 }
 
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -1,5 +1,6 @@
 #include "dogwoodport/net/http_client.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -13,6 +14,11 @@
 /// fails and the connection is closed.
 constexpr int kMaxSkippedResponses = 16;
 
+/// Maximum number of calls without success whose ids a connection keeps. It is closed afterwards.
+constexpr std::size_t kMaxUnsuccessfulCalls = 256;
+
+bool IsSuccess(int status) noexcept { return status >= 200 && status < 300; }
+
 /// Returns the value of "timeout=N" (seconds) in the Keep-Alive field, or zero if there is none.
 Duration KeepAliveTimeout(const Fields& fields) {
   const std::string* const value = fields.Find("Keep-Alive");
@@ -72,9 +78,12 @@
 
 void ClientConnection::Open() { stream_ = StreamPtr(new Stream(loop_, address_, this)); }
 
-void ClientConnection::Send(std::string_view bytes, bool is_head_request, CallHandler* handler) {
+void ClientConnection::Send(std::string_view bytes, bool is_head_request, CallHandler* handler,
+                            std::string_view call_id) {
   handler_ = handler;
   ++calls_;
+  has_call_id_ = !call_id.empty();
+  call_id_hash_ = std::hash<std::string_view>()(call_id);
   is_head_request_ = is_head_request;
   skipped_responses_ = 0;
   parser_ = ResponseParser(limits_, is_head_request);
@@ -86,6 +95,12 @@
   }
 }
 
+bool ClientConnection::MayRepeatResponseTo(std::string_view call_id) const {
+  const std::size_t hash = std::hash<std::string_view>()(call_id);
+  return std::find(unsuccessful_calls_.begin(), unsuccessful_calls_.end(), hash) !=
+         unsuccessful_calls_.end();
+}
+
 bool ClientConnection::any_sent() const noexcept {
   return stream_ && stream_->sent_bytes() > sent_bytes_before_call_;
 }
@@ -143,8 +158,10 @@
   const Duration limit = KeepAliveTimeout(response.fields);
   if (limit > Duration{0}) peer_idle_limit_ = limit;
   idle_since_ = loop_.now();
+  if (has_call_id_ && !IsSuccess(response.status)) unsuccessful_calls_.push_back(call_id_hash_);
   const bool reusable = response.keep_alive && stream_->open() && stream_->input().empty() &&
-                        stream_->flushed() && !saw_foreign_response_;
+                        stream_->flushed() && !saw_foreign_response_ &&
+                        unsuccessful_calls_.size() < kMaxUnsuccessfulCalls;
   handler->OnResponse(std::move(response));
   if (!reusable) {
     Close();
--- a/tests/fleet/unit-repeated_refusal.cpp
+++ b/tests/fleet/unit-repeated_refusal.cpp
@@ -99,6 +99,52 @@
   CHECK(server.requests().size() == 2);
 }
 
+/// Returns the number of connections to the target that are open.
+std::size_t OpenConnections(const net::ScriptedTarget& target) {
+  std::size_t n = 0;
+  for (std::size_t i = 0; i < target.connections(); ++i) {
+    if (!target.ended(i)) ++n;
+  }
+  return n;
+}
+
+// Guards against new connections, which a full target resets, in place of idle ones.
+TEST_CASE("a request that is sent again uses an idle connection that has not refused it",
+          "[forwarder][repeated_refusal]") {
+  ForwarderFixture fixture(std::chrono::seconds(2));
+  RepeatingTarget target(503);
+  net::ScriptedTarget& server = fixture.AddTarget("t1", std::ref(target), "keyed");
+  const net::RawClient& first = fixture.Send("/keyed/x", "a");
+  const net::RawClient& second = fixture.Send("/keyed/x", "b");
+  REQUIRE(fixture.RunUntil([&] {
+    fixture.forwarder.DispatchWaiting();
+    return ForwarderFixture::IsComplete(first.received) &&
+           ForwarderFixture::IsComplete(second.received);
+  }));
+  CHECK(ForwarderFixture::StatusOf(first.received) == 200);
+  CHECK(ForwarderFixture::StatusOf(second.received) == 200);
+  CHECK(server.connections() == 2);
+}
+
+TEST_CASE("a request that is sent again does not exceed the share of the target's connections",
+          "[forwarder][repeated_refusal]") {
+  ForwarderFixture fixture(std::chrono::seconds(2));
+  std::vector<Service> services = ForwarderFixture::Services();
+  services[1].max_connections = 1;
+  fixture.view.config = std::make_shared<RoutingConfig>(2, fixture.view.config->routes(), services,
+                                                        std::nullopt, CallerLimits{});
+  RepeatingTarget target(503);
+  net::ScriptedTarget& server = fixture.AddTarget("t1", std::ref(target), "keyed");
+  const net::RawClient& client = fixture.Send("/keyed/x", "r");
+  REQUIRE(fixture.RunUntil([&] {
+    fixture.forwarder.DispatchWaiting();
+    return ForwarderFixture::IsComplete(client.received);
+  }));
+  CHECK(ForwarderFixture::StatusOf(client.received) == 200);
+  CHECK(server.connections() == 2);
+  CHECK(fixture.RunUntil([&] { return OpenConnections(server) == 1; }));
+}
+
 TEST_CASE("the log tells the connection of a refusal and of a copy that arrives while it is idle",
           "[forwarder][repeated_refusal]") {
   ForwarderFixture fixture(std::chrono::milliseconds(200));
--- a/tests/net/unit-http_client.cpp
+++ b/tests/net/unit-http_client.cpp
@@ -177,6 +177,56 @@
   CHECK(pool.opened() == 2);
 }
 
+/// Makes a call on a connection of the pool and returns the number of connections opened so far.
+std::uint64_t CallOnce(EventLoop& loop, ConnectionPool& pool, const std::string& address,
+                       const std::string& call_id) {
+  Outcome outcome;
+  const ClientConnectionPtr connection = pool.Acquire(address, call_id, 1);
+  connection->Send(kRequest, false, &outcome, call_id);
+  loop.Run([&] {
+    if (outcome.ended()) loop.Stop();
+  });
+  return pool.opened();
+}
+
+struct SecondCallCase {
+  const char* description;
+  std::string status;
+  std::string first_id;
+  std::string second_id;
+  std::uint64_t opened;
+};
+
+TEST_CASE("a call does not use a connection that may repeat an unsuccessful response to it",
+          "[http_client]") {
+  const auto test_case = GENERATE(values<SecondCallCase>({
+      {"the same call after a failure", "503 X", "a", "a", 2},
+      {"the same call after a success", "200 OK", "a", "a", 1},
+      {"another call", "503 X", "a", "b", 1},
+      {"calls without ids", "503 X", "", "", 1},
+  }));
+  INFO(test_case.description);
+  EventLoop loop;
+  const ScriptedTarget target(
+      loop, RespondWith("HTTP/1.1 " + test_case.status + "\r\nContent-Length: 0\r\n\r\n", false));
+  ConnectionPool pool(loop, PoolLimits{});
+  CHECK(CallOnce(loop, pool, target.address(), test_case.first_id) == 1);
+  CHECK(CallOnce(loop, pool, target.address(), test_case.second_id) == test_case.opened);
+  CHECK(pool.Count(target.address()) == 1);
+}
+
+TEST_CASE("the number of ids that a connection keeps is bounded", "[http_client]") {
+  EventLoop loop;
+  const ScriptedTarget target(loop,
+                              RespondWith("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", false));
+  ConnectionPool pool(loop, PoolLimits{});
+  constexpr std::uint64_t kCallsPerConnection = 256;
+  for (std::uint64_t i = 0; i < 2 * kCallsPerConnection; ++i) {
+    const std::uint64_t opened = CallOnce(loop, pool, target.address(), std::to_string(i));
+    CHECK(opened == 1 + i / kCallsPerConnection);
+  }
+}
+
 TEST_CASE("serialising a request recomputes its length", "[http_client]") {
   HttpRequest request;
   request.method = "POST";
