--- a/packages/fleet/src/instance_owners.cc
+++ b/packages/fleet/src/instance_owners.cc
@@ -134,14 +134,15 @@
   caller_.Call(address, request, timeout, std::move(done), connection,
                [this, id, address](const net::HttpResponse& response) {
                  const std::string answered = protocol_.ReadResponse(response).request_id;
+                 if (answered == id) return net::ResponseMatch::kOwn;
                  // Some targets repeat only the ids of forwarded requests.
-                 if (answered.empty() || answered == id) return true;
+                 if (answered.empty()) return net::ResponseMatch::kUnidentified;
                  log_.Write(LogLevel::kWarning, "foreign_call_answer",
                             {{"address", address},
                              {"status", response.status},
                              {"call_id", id},
                              {"answer_id", answered}});
-                 return false;
+                 return net::ResponseMatch::kForeign;
                });
 }
 
--- a/packages/fleet/src/requests/forwarder_request.h
+++ b/packages/fleet/src/requests/forwarder_request.h
@@ -37,13 +37,13 @@
     forwarder.RecordLostAttempt(*this, failure);
     forwarder.OnAttemptFailed(*this, failure);
   }
-  bool Accepts(const net::HttpResponse& response) override {
+  net::ResponseMatch Match(const net::HttpResponse& response) override {
     const ResponseFields fields = forwarder.protocol_.ReadResponse(response);
-    if (fields.request_id == caller.request_id) return true;
+    if (fields.request_id == caller.request_id) return net::ResponseMatch::kOwn;
     ++forwarder.counters_.foreign_responses;
     forwarder.LogRequest(LogLevel::kWarning, "foreign_answer", *this,
                          {{"status", response.status}, {"answer_id", fields.request_id}});
-    return false;
+    return net::ResponseMatch::kForeign;
   }
 
   bool idempotent() const noexcept { return route->kind == RequestKind::kIdempotent; }
--- a/packages/net/include/dogwoodport/net/http_caller.h
+++ b/packages/net/include/dogwoodport/net/http_caller.h
@@ -35,9 +35,9 @@
   /// Receives the outcome of a call, which has no response if it failed or timed out. Never invoked
   /// from within `Call`.
   using Callback = std::function<void(const CallOutcome&)>;
-  /// Whether a response answers the call; if unset, the next one on the connection does. Other
-  /// responses are skipped, and the connection is not used again.
-  using ResponseTest = std::function<bool(const HttpResponse&)>;
+  /// Tells whether a response answers the call; if unset, the next one on the connection does.
+  /// After a foreign response the connection is not used again.
+  using ResponseTest = std::function<ResponseMatch(const HttpResponse&)>;
 
   HttpCaller(EventLoop& loop, PoolLimits limits) : loop_(loop), pool_(loop, std::move(limits)) {}
 
--- a/packages/net/include/dogwoodport/net/http_client.h
+++ b/packages/net/include/dogwoodport/net/http_client.h
@@ -26,6 +26,16 @@
 /// Returns the name of a failure for logs.
 const char* NameOf(CallFailure failure) noexcept;
 
+/// Relation of a response to the call in progress.
+enum class ResponseMatch {
+  kOwn,      ///< The response to the call.
+  kForeign,  ///< The response to another call. It is skipped.
+  /// The response names no call and counts as that to this one. Unless it is a success, the
+  /// connection is not used again, because a copy of it would count as the response to the next
+  /// call.
+  kUnidentified,
+};
+
 /// Receives the outcome of a call. Either `OnResponse` or `OnFailure` is called, exactly once and
 /// never from within `Send`.
 class CallHandler {
@@ -33,9 +43,8 @@
   virtual ~CallHandler() = default;
   virtual void OnResponse(HttpResponse response) = 0;
   virtual void OnFailure(CallFailure failure) = 0;
-  /// Returns whether a response belongs to this call. Otherwise the response is discarded and the
-  /// next one is read.
-  virtual bool Accepts(const HttpResponse& /*response*/) { return true; }
+  /// Returns whether a response belongs to this call.
+  virtual ResponseMatch Match(const HttpResponse& /*response*/) { return ResponseMatch::kOwn; }
 };
 
 class ClientConnection;
@@ -93,7 +102,7 @@
   void OnEnd(StreamEnd end) override;
 
  private:
-  void Finish(HttpResponse response);
+  void Finish(HttpResponse response, ResponseMatch match);
   void Fail(CallFailure failure);
   void Close();
   bool NextResponse();
--- a/packages/net/src/http_caller.cc
+++ b/packages/net/src/http_caller.cc
@@ -25,7 +25,9 @@
     connection_->Send(bytes, is_head_request, this);
   }
 
-  bool Accepts(const HttpResponse& response) override { return !answers_ || answers_(response); }
+  ResponseMatch Match(const HttpResponse& response) override {
+    return answers_ ? answers_(response) : ResponseMatch::kOwn;
+  }
   void OnResponse(HttpResponse response) override { Complete(std::move(response)); }
   void OnFailure(CallFailure /*failure*/) override { Complete(ReasonForNoResponse()); }
 
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -135,8 +135,9 @@
   while (handler_ != nullptr && NextResponse()) {
     HttpResponse response = parser_.Take();
     const bool interim = response.status >= 100 && response.status < 200;
-    if (!interim && handler_->Accepts(response)) {
-      Finish(std::move(response));
+    const ResponseMatch match = interim ? ResponseMatch::kForeign : handler_->Match(response);
+    if (match != ResponseMatch::kForeign) {
+      Finish(std::move(response), match);
       return;
     }
     if (!interim) saw_foreign_response_ = true;
@@ -153,14 +154,15 @@
   if (parser_.failed()) Fail(CallFailure::kMalformed);
 }
 
-void ClientConnection::Finish(HttpResponse response) {
+void ClientConnection::Finish(HttpResponse response, ResponseMatch match) {
   CallHandler* const handler = std::exchange(handler_, nullptr);
   const Duration limit = KeepAliveTimeout(response.fields);
   if (limit > Duration{0}) peer_idle_limit_ = limit;
   idle_since_ = loop_.now();
   if (has_call_id_ && !IsSuccess(response.status)) unsuccessful_calls_.push_back(call_id_hash_);
-  const bool reusable = response.keep_alive && stream_->open() && stream_->input().empty() &&
-                        stream_->flushed() && !saw_foreign_response_ &&
+  const bool may_be_confused = match == ResponseMatch::kUnidentified && !IsSuccess(response.status);
+  const bool reusable = response.keep_alive && !may_be_confused && stream_->open() &&
+                        stream_->input().empty() && stream_->flushed() && !saw_foreign_response_ &&
                         unsuccessful_calls_.size() < kMaxUnsuccessfulCalls;
   handler->OnResponse(std::move(response));
   if (!reusable) {
@@ -196,8 +198,9 @@
     if (parser_.complete()) {
       HttpResponse response = parser_.Take();
       response.keep_alive = false;
-      if (handler_->Accepts(response)) {
-        Finish(std::move(response));
+      const ResponseMatch match = handler_->Match(response);
+      if (match != ResponseMatch::kForeign) {
+        Finish(std::move(response), match);
         return;
       }
     }
--- a/tests/net/unit-http_caller.cpp
+++ b/tests/net/unit-http_caller.cpp
@@ -102,7 +102,8 @@
   const auto answers = [](const std::string& id) {
     return [id](const HttpResponse& response) {
       const std::string* const answered = response.fields.Find("Id");
-      return answered != nullptr && *answered == id;
+      const bool is_own = answered != nullptr && *answered == id;
+      return is_own ? ResponseMatch::kOwn : ResponseMatch::kForeign;
     };
   };
   const Duration timeout = std::chrono::milliseconds(200);
@@ -118,6 +119,39 @@
   }
 }
 
+struct UnidentifiedCase {
+  const char* description;
+  std::string first_response;
+  std::string copy;
+};
+
+// Guards against a refusal of one call that counts as the response to the next one.
+TEST_CASE("a copy of a refusal without an id does not answer the next call",
+          "[http_caller][repeated_refusal]") {
+  const std::string refusal = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+  const std::string success = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  const auto test_case = GENERATE_COPY(values<UnidentifiedCase>(
+      {{"a copy of a refusal", refusal, refusal}, {"no copy", success, ""}}));
+  INFO(test_case.description);
+  EventLoop loop;
+  std::size_t requests = 0;
+  ScriptedTarget target(loop, [&](const std::string&, std::size_t connection) {
+    if (++requests == 1) return Reaction{test_case.first_response};
+    return Reaction{(connection == 0 ? test_case.copy : "") + success};
+  });
+  HttpCaller caller(loop, PoolLimits{});
+  const auto unidentified = [](const HttpResponse& /*response*/) {
+    return ResponseMatch::kUnidentified;
+  };
+  const Duration timeout = std::chrono::seconds(5);
+  REQUIRE(ResponseOf(CallAndWait(loop, caller, target.address(), timeout, unidentified)));
+  const CallOutcome outcome = CallAndWait(loop, caller, target.address(), timeout, unidentified);
+  REQUIRE(ResponseOf(outcome) != nullptr);
+  CHECK(ResponseOf(outcome)->status == 200);
+  // Successes share a connection.
+  CHECK(target.connections() == (test_case.copy.empty() ? 1 : 2));
+}
+
 TEST_CASE("a call may require a new connection", "[http_caller]") {
   const auto connection = GENERATE(CallConnection::kReused, CallConnection::kNew);
   EventLoop loop;
--- a/tests/net/unit-http_client.cpp
+++ b/tests/net/unit-http_client.cpp
@@ -10,9 +10,10 @@
 struct Outcome : CallHandler {
   void OnResponse(HttpResponse value) override { response = std::move(value); }
   void OnFailure(CallFailure value) override { failure = value; }
-  bool Accepts(const HttpResponse& value) override {
+  ResponseMatch Match(const HttpResponse& value) override {
     const std::string* const id = value.fields.Find("X-Id");
-    return expected_id.empty() || (id != nullptr && *id == expected_id);
+    const bool is_own = expected_id.empty() || (id != nullptr && *id == expected_id);
+    return is_own ? ResponseMatch::kOwn : ResponseMatch::kForeign;
   }
   bool ended() const { return response || failure; }
 
