--- a/packages/fleet/src/requests/forwarder_request.h
+++ b/packages/fleet/src/requests/forwarder_request.h
@@ -46,6 +46,11 @@
     return net::ResponseMatch::kForeign;
   }
 
+  bool IsSuccess(const net::HttpResponse& response) const override {
+    const ResponseFields fields = forwarder.protocol_.ReadResponse(response);
+    return CallHandler::IsSuccess(response) && fields.has_signature && !fields.not_run;
+  }
+
   bool idempotent() const noexcept { return route->kind == RequestKind::kIdempotent; }
   /// Computed at the first call and cached, because it hashes the body.
   Fingerprint fingerprint() const {
--- a/packages/net/include/dogwoodport/net/http_client.h
+++ b/packages/net/include/dogwoodport/net/http_client.h
@@ -45,6 +45,10 @@
   virtual void OnFailure(CallFailure failure) = 0;
   /// Returns whether a response belongs to this call.
   virtual ResponseMatch Match(const HttpResponse& /*response*/) { return ResponseMatch::kOwn; }
+  /// Returns whether a response to this call is a success, after which the call is not made again.
+  virtual bool IsSuccess(const HttpResponse& response) const {
+    return response.status >= 200 && response.status < 300;
+  }
 };
 
 class ClientConnection;
@@ -86,7 +90,7 @@
   /// Number of calls started on the connection.
   std::uint64_t calls() const noexcept { return calls_; }
   /// Whether a response to the call `call_id` that was no success has been received here. The peer
-  /// may send a copy of it, which could not be told from the response to the same call sent again.
+  /// may send a copy of it, which cannot be told from the response to the same call sent again.
   bool MayRepeatResponseTo(std::string_view call_id) const;
   bool busy() const noexcept { return handler_ != nullptr; }
   bool open() const noexcept { return stream_ && stream_->open(); }
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -17,8 +17,6 @@
 /// Maximum number of calls without success whose ids a connection keeps. It is closed afterwards.
 constexpr std::size_t kMaxUnsuccessfulCalls = 256;
 
-bool IsSuccess(int status) noexcept { return status >= 200 && status < 300; }
-
 /// Returns the value of "timeout=N" (seconds) in the Keep-Alive field, or zero if there is none.
 Duration KeepAliveTimeout(const Fields& fields) {
   const std::string* const value = fields.Find("Keep-Alive");
@@ -96,6 +94,7 @@
 }
 
 bool ClientConnection::MayRepeatResponseTo(std::string_view call_id) const {
+  if (unsuccessful_calls_.empty()) return false;
   const std::size_t hash = std::hash<std::string_view>()(call_id);
   return std::find(unsuccessful_calls_.begin(), unsuccessful_calls_.end(), hash) !=
          unsuccessful_calls_.end();
@@ -159,8 +158,9 @@
   const Duration limit = KeepAliveTimeout(response.fields);
   if (limit > Duration{0}) peer_idle_limit_ = limit;
   idle_since_ = loop_.now();
-  if (has_call_id_ && !IsSuccess(response.status)) unsuccessful_calls_.push_back(call_id_hash_);
-  const bool may_be_confused = match == ResponseMatch::kUnidentified && !IsSuccess(response.status);
+  const bool success = handler->IsSuccess(response);
+  if (has_call_id_ && !success) unsuccessful_calls_.push_back(call_id_hash_);
+  const bool may_be_confused = match == ResponseMatch::kUnidentified && !success;
   const bool reusable = response.keep_alive && !may_be_confused && stream_->open() &&
                         stream_->input().empty() && stream_->flushed() && !saw_foreign_response_ &&
                         unsuccessful_calls_.size() < kMaxUnsuccessfulCalls;
