--- a/tests/platform_standin/deployment.h
+++ b/tests/platform_standin/deployment.h
@@ -12,6 +12,10 @@
 
 inline constexpr Duration kTimeout{60'000'000};
 
+/// Targets of the keyed service are every `kServices`-th one, from this one on.
+inline constexpr std::size_t kFirstKeyedTarget = 2;
+inline constexpr std::size_t kServices = 3;
+
 /// Deployment with its event loop.
 struct TestEnvironment {
   explicit TestEnvironment(LocalFleetSettings settings = {}) : fleet(loop, settings) {
--- a/tests/platform_standin/unit-endless_responses.cpp
+++ b/tests/platform_standin/unit-endless_responses.cpp
@@ -10,9 +10,6 @@
 
 /// Memory limit of an instance of the deployment.
 constexpr std::size_t kMemoryLimitKb = 160'000;
-/// Targets of the keyed service are every third one, from this one on.
-constexpr std::size_t kFirstKeyedTarget = 2;
-constexpr std::size_t kServices = 3;
 
 /// Returns the peak resident memory of a process.
 std::size_t PeakMemoryKb(int pid) {
--- /dev/null
+++ b/tests/platform_standin/unit-repeated_refusal.cpp
@@ -0,0 +1,42 @@
+#include "platform_standin/deployment.h"
+
+namespace dogwoodport::platform::standin {
+namespace {
+
+struct RefusalCase {
+  const char* description;
+  bool omit_call_ids;
+};
+
+// Guards against copies of refusals that are taken for second refusals of requests that are under
+// way again.
+TEST_CASE("copies of refusals break no guarantee", "[repeated_refusal]") {
+  const auto test_case = GENERATE(values<RefusalCase>({
+      {"control calls are answered with their ids", false},
+      {"control calls are answered without ids", true},
+  }));
+  INFO(test_case.description);
+  LocalFleetSettings settings;
+  settings.callers = 24;
+  settings.mean_caller_pause = Duration{20'000};
+  TestEnvironment env(settings);
+  REQUIRE(env.RunUntilServed(200));
+  for (std::size_t i = 0; i < env.fleet.targets(); ++i) {
+    env.fleet.TargetProxy(i).SetRepeatsRefusals(true);
+    TargetFaults& faults = env.fleet.Target(i)->faults();
+    faults.omit_call_ids = test_case.omit_call_ids;
+    // Keys have one target each, so that instances send such requests again to the same one.
+    if (i % kServices == kFirstKeyedTarget) faults.refusal_share = 0.5;
+  }
+  REQUIRE(env.RunUntilServed(600));
+  // The keys of a data centre move, so that grants and releases are under way too.
+  env.fleet.SetDataCentreWithdrawn(env.fleet.data_centres()[0], true);
+  REQUIRE(env.RunUntilServed(600));
+  env.fleet.SetDataCentreWithdrawn(env.fleet.data_centres()[0], false);
+  REQUIRE(env.RunUntilServed(600));
+  CHECK(env.fleet.RepeatedRefusals() >= 10);
+  env.RequireNoViolations();
+}
+
+}  // namespace
+}  // namespace dogwoodport::platform::standin
--- a/tests/platform_standin/unit-repeated_response.cpp
+++ b/tests/platform_standin/unit-repeated_response.cpp
@@ -3,9 +3,6 @@
 namespace dogwoodport::platform::standin {
 namespace {
 
-/// First target of the keyed service.
-constexpr std::size_t kFirstKeyedTarget = 2;
-
 // Guards against keys that are granted to others while their holder is at work, because the second
 // response to a grant was taken for the response to the release.
 TEST_CASE("a repeated response to a grant does not confirm a release", "[repeated_response]") {
