--- a/tests/platform_standin/unit-repeated_refusal.cpp
+++ b/tests/platform_standin/unit-repeated_refusal.cpp
@@ -26,7 +26,9 @@
     TargetFaults& faults = env.fleet.Target(i)->faults();
     faults.omit_call_ids = test_case.omit_call_ids;
     // Keys have one target each, so that instances send such requests again to the same one.
-    if (i % kServices == kFirstKeyedTarget) faults.refusal_share = 0.5;
+    if (i % kServices != kFirstKeyedTarget) continue;
+    faults.refusal_share = 0.5;
+    faults.refused_grant_share = 0.3;
   }
   REQUIRE(env.RunUntilServed(600));
   // The keys of a data centre move, so that grants and releases are under way too.
@@ -34,6 +36,11 @@
   REQUIRE(env.RunUntilServed(600));
   env.fleet.SetDataCentreWithdrawn(env.fleet.data_centres()[0], false);
   REQUIRE(env.RunUntilServed(600));
+  std::uint64_t refused_grants = 0;
+  for (std::size_t i = kFirstKeyedTarget; i < env.fleet.targets(); i += kServices) {
+    refused_grants += env.fleet.Target(i)->refused_grants();
+  }
+  CHECK(refused_grants > 0);
   CHECK(env.fleet.RepeatedRefusals() >= 10);
   env.RequireNoViolations();
 }
