--- a/tools/soak/faults.cc
+++ b/tools/soak/faults.cc
@@ -27,6 +27,12 @@
 constexpr int kMaxEndlessMs = 2'000;
 constexpr int kMaxCutMs = 6'000;
 constexpr int kMaxCutDowntimeMs = 1'500;
+/// Interval between targets that repeat refusals, maximum duration of this fault, and the largest
+/// shares of requests and grants that such a target refuses.
+constexpr Duration kRepeatedRefusalInterval{1'700'000};
+constexpr int kMaxRepeatedRefusalMs = 4'000;
+constexpr double kMaxRefusalShare = 0.6;
+constexpr double kMaxRefusedGrantShare = 0.3;
 /// Time after a pause or a cut until what was held up has arrived.
 constexpr Duration kLimitRecoveryTime{1'000'000};
 
@@ -76,6 +82,7 @@
       crashing_request_random_(seed),
       target_entry_random_(seed),
       target_random_(seed),
+      refusal_random_(seed),
       history_(history) {
   constexpr std::array<double, 3> kLimits = {0.5, 2, 5.3};
   limited_target_ = static_cast<std::size_t>(seed) % fleet_.targets();
@@ -88,6 +95,7 @@
   SendCrashingRequests();
   DisturbTargetEntries();
   DisturbTargets();
+  RepeatRefusals();
   while (loop_.now() < end) {
     NameLimit();
     const FaultKind& fault_kind = FaultKinds()[RandomIndex(FaultKinds().size())];
@@ -98,6 +106,7 @@
   }
   loop_.Cancel(target_entry_timer_);
   loop_.Cancel(target_timer_);
+  loop_.Cancel(refusal_timer_);
   const auto repairs = std::exchange(pending_repairs_, {});
   for (const auto& [repair_id, repair] : repairs) repair();
 }
@@ -166,8 +175,35 @@
   target_timer_ = loop_.RunAfter(kTargetInterval, [this] { DisturbTargets(); });
 }
 
+void FaultInjector::RepeatRefusals() {
+  std::uniform_real_distribution<double> share;
+  const std::size_t target = refusal_random_() % fleet_.targets();
+  const Duration duration = std::chrono::milliseconds(
+      std::uniform_int_distribution<int>(0, kMaxRepeatedRefusalMs)(refusal_random_));
+  TargetFaults faults;
+  faults.refusal_share = kMaxRefusalShare * share(refusal_random_);
+  faults.refused_grant_share = kMaxRefusedGrantShare * share(refusal_random_);
+  faults.omit_call_ids = refusal_random_() % 2 == 0;
+  const auto set = [this, target](bool repeats, const TargetFaults& to) {
+    fleet_.TargetProxy(target).SetRepeatsRefusals(repeats);
+    if (auto* const server = fleet_.Target(target)) {
+      server->faults().refusal_share = to.refusal_share;
+      server->faults().refused_grant_share = to.refused_grant_share;
+      server->faults().omit_call_ids = to.omit_call_ids;
+    }
+  };
+  set(true, faults);
+  // The instances can exchange their state meanwhile, so that this is no disturbance.
+  ScheduleRepair(duration, [set] { set(false, TargetFaults{}); });
+  refusal_timer_ = loop_.RunAfter(kRepeatedRefusalInterval, [this] { RepeatRefusals(); });
+}
+
 void FaultInjector::RepairAfter(Duration duration, std::function<void()> repair) {
   fleet_.RecordDisturbance(duration);
+  ScheduleRepair(duration, std::move(repair));
+}
+
+void FaultInjector::ScheduleRepair(Duration duration, std::function<void()> repair) {
   const int repair_id = next_repair_id_++;
   pending_repairs_[repair_id] = std::move(repair);
   loop_.RunAfter(duration, [this, repair_id] {
--- a/tools/soak/faults.h
+++ b/tools/soak/faults.h
@@ -59,6 +59,10 @@
   /// Makes a target respond without end, or cuts one off from the store and restarts it under its
   /// id meanwhile, and schedules the next one until the end of InjectFaults().
   void DisturbTargets();
+  /// Makes a target refuse a share of its requests and grants, repeat its refusals and, in half of
+  /// the cases, omit the ids of control calls in its responses, and schedules the next one until
+  /// the end of InjectFaults().
+  void RepeatRefusals();
   /// Sends one of a few requests that crash their targets to a random instance, and schedules the
   /// next one.
   void SendCrashingRequests();
@@ -70,8 +74,11 @@
     return std::chrono::milliseconds(
         std::uniform_int_distribution<int>(min_ms, max_ms)(random_engine_));
   }
-  /// Runs `repair` after `duration`, or at the end of InjectFaults() if that comes first.
+  /// Runs `repair` after `duration`, or at the end of InjectFaults() if that comes first. The time
+  /// until then counts as disturbed.
   void RepairAfter(Duration duration, std::function<void()> repair);
+  /// Likewise, but the time does not count as disturbed.
+  void ScheduleRepair(Duration duration, std::function<void()> repair);
   /// Sets a fault of a random target to `value` for a random time.
   void InjectTargetFault(double platform::standin::TargetFaults::*field, double value);
 
@@ -81,11 +88,13 @@
   /// Separate engine for the crashing requests, so that the sequence of faults depends on the seed
   /// only.
   std::mt19937_64 crashing_request_random_;
-  /// Likewise for the entries of the targets, and for the targets.
+  /// Likewise for the entries of the targets, for the targets, and for repeated refusals.
   std::mt19937_64 target_entry_random_;
   net::TimerId target_entry_timer_;
   std::mt19937_64 target_random_;
   net::TimerId target_timer_;
+  std::mt19937_64 refusal_random_;
+  net::TimerId refusal_timer_;
   std::ostream& history_;
   std::map<int, std::function<void()>> pending_repairs_;
   int next_repair_id_ = 0;
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -88,7 +88,7 @@
   if (!fleet.RunUntil(all_exited, kReadyTimeout)) failures.push_back("an instance did not exit");
   std::cout << "disturbed:" << FormatCounts(during_faults)
             << "\nrecovering:" << FormatCounts(recovering) << "\ncalm:" << FormatCounts(steady)
-            << "\n";
+            << "\ncopies of refusals: " << fleet.RepeatedRefusals() << "\n";
   if (ServedShare(steady) < kMinServedShare) {
     failures.push_back("too few attempts were served after the recovery time");
   }
