--- a/tests/platform_standin/unit-tcp_proxy.cpp
+++ b/tests/platform_standin/unit-tcp_proxy.cpp
@@ -7,8 +7,8 @@
 namespace dogwoodport::platform::standin {
 namespace {
 
-const std::string kRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-const std::string kSuccess = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nHTTP/1.1 503";
+constexpr const char* kRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+constexpr const char* kSuccess = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nHTTP/1.1 503";
 
 struct CopyCase {
   const char* description;
