--- a/packages/gateway/include/dogwoodport/gateway/target_client.h
+++ b/packages/gateway/include/dogwoodport/gateway/target_client.h
@@ -40,7 +40,8 @@
 struct Exchange {
   TargetAddress target;
   Request request;
-  /// Expected in the answer's `Dogwood-Request-Id`.
+  /// Expected in the answer's `Dogwood-Request-Id`. The request is not sent on a connection that
+  /// has carried an answer to it that was no success.
   std::string request_id;
   std::chrono::steady_clock::time_point deadline;
   /// Called directly before the first byte is written; false sends nothing.
--- a/packages/gateway/src/target_client.cc
+++ b/packages/gateway/src/target_client.cc
@@ -5,12 +5,16 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <deque>
+#include <functional>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <sstream>
+#include <vector>
 
 #include "dogwoodport/gateway/detail/raw_session.h"
 #include "dogwoodport/gateway/detail/socket_guard.h"
@@ -23,6 +27,12 @@
 using detail::SocketGuard;
 using Clock = std::chrono::steady_clock;
 
+/// Maximum number of exchanges without success whose ids a connection keeps. It is closed
+/// afterwards.
+constexpr std::size_t kMaxUnsuccessfulExchanges = 256;
+
+bool IsSuccess(int status) noexcept { return status >= 200 && status < 300; }
+
 Poco::Timespan ToTimespan(Clock::duration t) {
   return Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(t).count());
 }
@@ -55,7 +65,29 @@
     return !HasBufferedBytes() && !socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
   }
 
+  void AddUnsuccessful(std::string_view request_id) {
+    unsuccessful_exchanges_.push_back(std::hash<std::string_view>()(request_id));
+  }
+
+  /// Returns whether another answer that is no success may follow.
+  bool HasRoomForUnsuccessful() const noexcept {
+    return unsuccessful_exchanges_.size() < kMaxUnsuccessfulExchanges;
+  }
+
+  /// Returns whether an answer to `request_id` that was no success has been received here. The
+  /// target may send a copy of it, which could not be told from the answer to the same request sent
+  /// again.
+  bool MayRepeatAnswerTo(std::string_view request_id) const {
+    const std::size_t hash = std::hash<std::string_view>()(request_id);
+    return std::find(unsuccessful_exchanges_.begin(), unsuccessful_exchanges_.end(), hash) !=
+           unsuccessful_exchanges_.end();
+  }
+
   Clock::time_point idle_since;
+
+ private:
+  /// Hashes of the ids of exchanges whose answer was no success.
+  std::vector<std::size_t> unsuccessful_exchanges_;
 };
 
 using ConnectionPtr = std::unique_ptr<TargetConnection>;
@@ -153,7 +185,7 @@
 
   ExchangeResult TryRun(const Exchange& exchange) {
     Progress progress;
-    ConnectionPtr connection = exchange.force_new_connection ? nullptr : TakeIdle(exchange.target);
+    ConnectionPtr connection = exchange.force_new_connection ? nullptr : TakeIdle(exchange);
     progress.new_connection = connection == nullptr;
     if (!connection) {
       connection = std::make_unique<TargetConnection>(exchange.target);
@@ -228,7 +260,11 @@
     }
     out.new_connection = progress.new_connection;
     out.latency = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - start);
-    progress.reusable = header.getKeepAlive() && watch.verdict() == SocketGuard::Verdict::kNone;
+    if (exchange.check_request_id && !IsSuccess(out.answer.status)) {
+      connection.AddUnsuccessful(exchange.request_id);
+    }
+    progress.reusable = header.getKeepAlive() && connection.HasRoomForUnsuccessful() &&
+                        watch.verdict() == SocketGuard::Verdict::kNone;
     return out;
   }
 
@@ -249,19 +285,23 @@
     return Fail(fault, progress, std::move(text));
   }
 
-  ConnectionPtr TakeIdle(const TargetAddress& target) {
+  /// Returns an idle connection that may not repeat an answer to the request, or nullptr.
+  ConnectionPtr TakeIdle(const Exchange& exchange) {
     std::deque<ConnectionPtr> closed;
     const Clock::time_point oldest = Clock::now() - settings_.max_idle_time;
     const std::lock_guard<std::mutex> lock(mutex_);
-    std::deque<ConnectionPtr>& list = idle_[target];
-    while (!list.empty()) {
+    std::deque<ConnectionPtr>& list = idle_[exchange.target];
+    for (;;) {
       // The most recently used connection is taken, so that surplus ones age and are closed.
-      ConnectionPtr connection = std::move(list.back());
-      list.pop_back();
+      const auto it = std::find_if(list.rbegin(), list.rend(), [&](const ConnectionPtr& idle) {
+        return !idle->MayRepeatAnswerTo(exchange.request_id);
+      });
+      if (it == list.rend()) return nullptr;
+      ConnectionPtr connection = std::move(*it);
+      list.erase(std::next(it).base());
       if (connection->idle_since >= oldest && connection->Quiet()) return connection;
       closed.push_back(std::move(connection));
     }
-    return nullptr;
   }
 
   void PutIdle(const TargetAddress& target, ConnectionPtr connection) {
