--- a/packages/gateway/include/dogwoodport/gateway/target_client.h
+++ b/packages/gateway/include/dogwoodport/gateway/target_client.h
@@ -52,7 +52,8 @@
   /// When it becomes true the exchange is given up like after `caller_fd`. May be null.
   std::shared_ptr<const std::atomic<bool>> cancelled;
   bool force_new_connection = false;
-  /// False for the target's own pages, which need not echo an identifier.
+  /// False for the target's own pages, which need not echo an identifier. Such an exchange uses
+  /// only connections without refusals, and its connection is kept only after a success.
   bool check_request_id = true;
 };
 
@@ -99,8 +100,10 @@
 };
 
 /// Sends requests to targets, one at a time on each connection. A connection is kept only after a
-/// whole answer to its own request; after any fault it is closed. All members may be called from
-/// any thread; `Run` blocks until the answer, a fault or the deadline.
+/// whole answer to its own request; after any fault it is closed. A target may send a copy of an
+/// answer late, so no exchange uses a connection on which a copy of a refusal could be taken for
+/// its answer. All members may be called from any thread; `Run` blocks until the answer, a fault or
+/// the deadline.
 ///
 /// @code
 /// const ExchangeResult result = client.Run(exchange);
--- a/packages/gateway/src/target_client.cc
+++ b/packages/gateway/src/target_client.cc
@@ -74,11 +74,12 @@
     return unsuccessful_exchanges_.size() < kMaxUnsuccessfulExchanges;
   }
 
-  /// Returns whether an answer to `request_id` that was no success has been received here. The
-  /// target may send a copy of it, which could not be told from the answer to the same request sent
-  /// again.
-  bool MayRepeatAnswerTo(std::string_view request_id) const {
-    const std::size_t hash = std::hash<std::string_view>()(request_id);
+  /// Returns whether an answer that was no success, and a copy of which would count as that to
+  /// `exchange`, has been received here: an answer to the same request, or any if the answer to
+  /// `exchange` need not name it.
+  bool MayRepeatAnswerTo(const Exchange& exchange) const {
+    if (!exchange.check_request_id) return !unsuccessful_exchanges_.empty();
+    const std::size_t hash = std::hash<std::string_view>()(exchange.request_id);
     return std::find(unsuccessful_exchanges_.begin(), unsuccessful_exchanges_.end(), hash) !=
            unsuccessful_exchanges_.end();
   }
@@ -260,10 +261,12 @@
     }
     out.new_connection = progress.new_connection;
     out.latency = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - start);
-    if (exchange.check_request_id && !IsSuccess(out.answer.status)) {
-      connection.AddUnsuccessful(exchange.request_id);
-    }
-    progress.reusable = header.getKeepAlive() && connection.HasRoomForUnsuccessful() &&
+    const bool success = IsSuccess(out.answer.status);
+    if (!success) connection.AddUnsuccessful(exchange.request_id);
+    // A copy of an answer that names no request would count as that to the next exchange.
+    const bool may_be_confused = !exchange.check_request_id && !success;
+    progress.reusable = header.getKeepAlive() && !may_be_confused &&
+                        connection.HasRoomForUnsuccessful() &&
                         watch.verdict() == SocketGuard::Verdict::kNone;
     return out;
   }
@@ -294,7 +297,7 @@
     for (;;) {
       // The most recently used connection is taken, so that surplus ones age and are closed.
       const auto it = std::find_if(list.rbegin(), list.rend(), [&](const ConnectionPtr& idle) {
-        return !idle->MayRepeatAnswerTo(exchange.request_id);
+        return !idle->MayRepeatAnswerTo(exchange);
       });
       if (it == list.rend()) return nullptr;
       ConnectionPtr connection = std::move(*it);
--- a/tests/gateway/unit-repeated_refusal.cpp
+++ b/tests/gateway/unit-repeated_refusal.cpp
@@ -190,4 +190,50 @@
   CHECK(client.counters().connects == 3);
 }
 
+struct PageCase {
+  const char* description;
+  std::string first_id;
+  std::string first_answer;
+  std::string copy;
+  std::uint64_t connections;
+};
+
+// Guards against an answer that is taken for that of a page, which need not name its request.
+TEST_CASE("a copy of a refusal does not answer a later request for a page",
+          "[target_client][repeated_refusal]") {
+  const std::string refusal = AnswerBytes(409, "", "");
+  const std::string refusal_of_request = AnswerBytes(503, "r", "no");
+  const std::string success = AnswerBytes(200, "", "");
+  const std::string success_of_request = AnswerBytes(200, "r", "yes");
+  const auto it = GENERATE_COPY(values<PageCase>({
+      {"refusal of a page", "", refusal, refusal, 2},
+      {"refusal of a request", "r", refusal_of_request, refusal_of_request, 2},
+      {"success of a page", "", success, "", 1},
+      {"success of a request", "r", success_of_request, "", 1},
+  }));
+  INFO(it.description);
+  int requests = 0;
+  ScriptedTarget target([&](const std::string& /*id*/, int connection) {
+    if (++requests == 1) return it.first_answer;
+    return (connection == 0 ? it.copy : "") + success;
+  });
+  TargetClient client({});
+  REQUIRE(StatusOf(client.Run(MakeExchange(target, it.first_id))) > 0);
+  CHECK(StatusOf(client.Run(MakeExchange(target, ""))) == 200);
+  CHECK(client.counters().connects == it.connections);
+}
+
+TEST_CASE("a copy of a page's refusal does not end a later request",
+          "[target_client][repeated_refusal]") {
+  int requests = 0;
+  ScriptedTarget target([&](const std::string& id, int connection) {
+    const std::string refusal = AnswerBytes(409, "", "");
+    if (++requests == 1) return refusal;
+    return (connection == 0 ? refusal : "") + AnswerBytes(200, id, "yes");
+  });
+  TargetClient client({});
+  REQUIRE(StatusOf(client.Run(MakeExchange(target, ""))) == 409);
+  CHECK(StatusOf(client.Run(MakeExchange(target, "r"))) == 200);
+}
+
 }  // namespace dogwoodport
