--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -247,6 +247,8 @@
     TargetId target;
     std::optional<LocalOwner> owner;
     std::vector<TargetId> tried;
+    /// Outcome of an earlier attempt that a target ran or may have run.
+    std::optional<TargetFailed> lost_attempt;
     // Forwarding.
     std::optional<InstanceId> forwarded_to;
     std::vector<InstanceId> unreachable;
@@ -538,6 +540,8 @@
     ReportFailure(now, p, failed);
     if (failed.fault == AttemptFault::kCallerLeft) return End(p, Reply{});
     if (p.order) return OnOrderFailed(now, p, failed);
+    const bool is_known_run = p.lost_attempt && p.lost_attempt->run == RunState::kYes;
+    if (failed.run != RunState::kNo && !is_known_run) p.lost_attempt = failed;
     if (failed.run == RunState::kNo && ++p.unsent_attempts <= kMaxUnsentAttempts) {
       if (failed.fault != AttemptFault::kConnectFailed || p.match.service->keyed) {
         // Either the owner or the permit is about to change, or the key has no other target.
@@ -552,16 +556,24 @@
   }
 
   Step EndFailed(Pending& p, const TargetFailed& failed) {
+    ++counters_.refused;
+    return End(p, ReplyTo(p, failed));
+  }
+
+  static Reply ReplyTo(const Pending& p, const TargetFailed& failed) {
     const Duration retry_after = failed.run == RunState::kNo ? kRetryAfter : Duration(0);
+    const auto reply = [&](std::uint16_t status, const char* code) {
+      return MakeRefusal(status, code, failed.text, failed.run, p.request_id, retry_after);
+    };
     switch (failed.fault) {
       case AttemptFault::kTimeout:
-        return End(p, 504, "timeout", failed.text, failed.run, retry_after);
+        return reply(504, "timeout");
       case AttemptFault::kBrokenAnswer:
-        return End(p, 502, "broken_answer", failed.text, failed.run, retry_after);
+        return reply(502, "broken_answer");
       case AttemptFault::kConnectionLost:
-        return End(p, 502, "connection_lost", failed.text, failed.run, retry_after);
+        return reply(502, "connection_lost");
       default:
-        return End(p, 503, "target_unreachable", failed.text, failed.run, retry_after);
+        return reply(503, "target_unreachable");
     }
   }
 
@@ -935,6 +947,8 @@
 
   /// Ends a request. If it was forwarded by another instance, the response is sent there.
   Step End(Pending& p, Reply reply) {
+    // A refusal of the last attempt says nothing about an earlier one.
+    if (reply.run == RunState::kNo && p.lost_attempt) reply = ReplyTo(p, *p.lost_attempt);
     // An order that was allowed but not sent must not remain in flight.
     if (p.order && p.order_begun && !p.sent) {
       LocalOrders().OnNotSent(p.arrived, p.handle, outbox_);
--- a/tests/core/unit-router.cpp
+++ b/tests/core/unit-router.cpp
@@ -14,8 +14,10 @@
 
 const char* const kConfig = R"({
   "data_centres": [{"name": "howrah"}],
-  "services": [{"name": "farmaish"}, {"name": "khata", "keyed": true, "shards": 8}],
+  "services": [{"name": "farmaish"}, {"name": "khata", "keyed": true, "shards": 8},
+    {"name": "suchi"}],
   "routes": [
+    {"name": "lists", "path_prefix": "/suchi", "service": "suchi"},
     {"name": "orders", "path_prefix": "/farmaish", "service": "farmaish", "repeatable": false},
     {"name": "ledger", "path_prefix": "/khata", "service": "khata",
      "key": {"in": "path", "segment": 1}}],
@@ -25,7 +27,11 @@
     {"name": "farmaish-1", "service": "farmaish", "data_centre": "howrah", "host": "127.0.0.1",
      "port": 7001},
     {"name": "khata-1", "service": "khata", "data_centre": "howrah", "host": "127.0.0.1",
-     "port": 7002}],
+     "port": 7002},
+    {"name": "suchi-1", "service": "suchi", "data_centre": "howrah", "host": "127.0.0.1",
+     "port": 7003},
+    {"name": "suchi-2", "service": "suchi", "data_centre": "howrah", "host": "127.0.0.1",
+     "port": 7004}],
   "defaults": {"rate": 100, "burst": 200, "weight": 1}
 })";
 
@@ -84,11 +90,11 @@
   }
 
   /// Sends a request for a key and returns its first step other than `WaitForStep`.
-  Step FirstOutcome(const std::string& request_id) {
+  Step FirstOutcome(const std::string& request_id, const std::string& uri = "/khata/a") {
     IncomingRequest in;
     in.request_id = request_id;
     in.request.method = "GET";
-    in.request.uri = "/khata/a";
+    in.request.uri = uri;
     in.request.fields = {{"Authorization", std::string("Bearer ") + kSecret}};
     const Step step = router_->OnRequest(now_, in, handle_);
     return std::holds_alternative<WaitForStep>(step) ? NextStep() : step;
@@ -119,6 +125,15 @@
     return std::get<Finish>(step).reply;
   }
 
+  /// Ends an attempt and returns the next step other than `WaitForStep`.
+  Step EndAttempt(const SendToTarget& send, const AttemptOutcome& outcome) {
+    const auto* failed = std::get_if<TargetFailed>(&outcome);
+    const bool unsent = failed != nullptr && failed->run == RunState::kNo;
+    if (!unsent) REQUIRE(router_->MaySend(now_, send.handle, send.attempt));
+    const Step step = router_->OnAttempt(now_, send.handle, send.attempt, outcome);
+    return std::holds_alternative<WaitForStep>(step) ? NextStep() : step;
+  }
+
   /// Simulates a crash and restart of the process, which loses all of its memory.
   void Restart() {
     ++incarnation_;
@@ -213,4 +228,57 @@
   CHECK(send->target == TargetId::FromName("khata-1"));
 }
 
+struct LostAttemptCase {
+  const char* description;
+  TargetFailed lost;
+  AttemptOutcome next;
+  std::uint16_t status;
+};
+
+// Guards against callers that are told "not run" although an earlier attempt may have run.
+TEST_CASE("a request whose earlier attempt may have run is not reported as not run") {
+  const TargetFailed timeout{AttemptFault::kTimeout, RunState::kUnknown, false, "timeout"};
+  const TargetFailed lost{AttemptFault::kConnectionLost, RunState::kUnknown, false, "lost"};
+  const TargetFailed truncated{AttemptFault::kConnectionLost, RunState::kYes, false, "truncated"};
+  const TargetFailed unreachable{AttemptFault::kConnectFailed, RunState::kNo, true, "unreachable"};
+  const TargetFailed not_allowed{AttemptFault::kNotAllowed, RunState::kNo, false, "not allowed"};
+  const TargetAnswered refusal{{503, {{"Dogwood-Run", "no"}}, ""}};
+  const auto it = GENERATE_COPY(values<LostAttemptCase>({
+      {"timed out, then refused", timeout, refusal, 504},
+      {"timed out, then not connected", timeout, unreachable, 504},
+      {"timed out, then never sent", timeout, not_allowed, 504},
+      {"connection lost, then refused", lost, refusal, 502},
+      {"connection lost, then not connected", lost, unreachable, 502},
+      {"connection lost, then never sent", lost, not_allowed, 502},
+      {"answer truncated, then refused", truncated, refusal, 502},
+  }));
+  INFO(it.description);
+  Fixture f;
+  Step step = f.FirstOutcome("r", "/suchi/a");
+  const auto first = std::get<SendToTarget>(step);
+  step = f.EndAttempt(first, it.lost);
+  int sends = 1;
+  while (const auto* send = std::get_if<SendToTarget>(&step)) {
+    REQUIRE(++sends < 20);
+    CHECK(send->target != first.target);
+    const SendToTarget again = *send;
+    step = f.EndAttempt(again, it.next);
+  }
+  CHECK(sends > 1);
+  const Reply& reply = std::get<Finish>(step).reply;
+  CHECK(reply.run == it.lost.run);
+  CHECK(reply.answer.status == it.status);
+}
+
+TEST_CASE("a request that was refused by all targets is reported as not run") {
+  Fixture f;
+  const TargetAnswered refusal{{503, {{"Dogwood-Run", "no"}}, ""}};
+  Step step = f.FirstOutcome("r", "/suchi/a");
+  step = f.EndAttempt(std::get<SendToTarget>(step), refusal);
+  step = f.EndAttempt(std::get<SendToTarget>(step), refusal);
+  const Reply& reply = std::get<Finish>(step).reply;
+  CHECK(reply.run == RunState::kNo);
+  CHECK(reply.answer.status == 503);
+}
+
 }  // namespace dogwoodport
