--- a/packages/core/src/routing.cc
+++ b/packages/core/src/routing.cc
@@ -193,6 +193,10 @@
   for (const std::size_t i : service.targets) {
     TargetRow& row = table_.rows()[i];
     if (!row.ramp.ramping() || now < row.next_warm_up || row.slow != SlowState::kNormal) continue;
+    if (std::find(request.excluded.begin(), request.excluded.end(), row.config.id) !=
+        request.excluded.end()) {
+      continue;
+    }
     if (!AcceptsNewRequests(row, now) || FreeSlots(row, ledger_, now) == 0) continue;
     row.next_warm_up = now + kWarmUpInterval;
     return i;
--- a/tests/core/unit-routing.cpp
+++ b/tests/core/unit-routing.cpp
@@ -184,6 +184,23 @@
   CHECK(fixture.Row(0).ramp.Limit(6) == 6);
 }
 
+TEST_CASE("a request is not sent again to a target that ramps up") {
+  // Guards against a retry at the target that has just refused the request.
+  Fixture fixture(2, 6);
+  for (int i = 0; i < 2; ++i) fixture.Probe(i, {.reachable = true, .boot = 1});
+  fixture.Probe(0, {.reachable = true, .state = HealthState::kCold, .boot = 1});
+  REQUIRE(fixture.Row(0).ramp.ramping());
+  fixture.RunTicks(100'000);
+  RouteRequest request = fixture.Request();
+  const TargetId tried[] = {Target(0)};
+  request.excluded = tried;
+  const Choice choice = fixture.routing().Choose(fixture.now(), request, fixture.out());
+  REQUIRE(std::holds_alternative<Chosen>(choice));
+  CHECK(std::get<Chosen>(choice).target == Target(1));
+  // The first request that has not tried the target still warms it up.
+  CHECK(fixture.ChooseTarget().target == Target(0));
+}
+
 TEST_CASE("slow responses of a cold target do not advance the ramp") {
   // Guards against a ramp that counts responses regardless of their latency.
   ColdStartRamp ramp;
