--- a/packages/core/include/dogwoodport/core/forward_messages.h
+++ b/packages/core/include/dogwoodport/core/forward_messages.h
@@ -14,7 +14,7 @@
 /// Requests that another instance execute a request whose caller has been authenticated and
 /// admitted. The request contains no secret.
 struct ForwardRequest {
-  /// Chosen by the sender; unique within its incarnation.
+  /// Chosen by the sender; not used again by its later incarnations.
   std::uint64_t forward_id = 0;
   std::string request_id;
   AccountId account;
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -1001,7 +1001,9 @@
   RouterWork work_;
   std::unordered_map<RequestHandle, Pending> pending_;
   std::vector<WaitingRequest> waiting_;
-  RequestHandle next_handle_ = 1;
+  /// Starts at the incarnation, a time in microseconds, so that the answer to a request that was
+  /// forwarded before a restart names no request of this run.
+  RequestHandle next_handle_ = std::max<std::uint64_t>(1, settings_.incarnation.value);
   std::size_t next_peer_ = 0;
   std::int64_t unix_ms_ = 0;
   bool leaving_ = false;
--- a/tests/core/unit-router.cpp
+++ b/tests/core/unit-router.cpp
@@ -35,12 +35,16 @@
   "defaults": {"rate": 100, "burst": 200, "weight": 1}
 })";
 
+const InstanceId kOther = InstanceId::FromName("there-1");
+const DataCentreId kThere = DataCentreId::FromName("there");
+
 constexpr char kSecret[] = "k1.5f0e9a7c";
 
 /// One instance with an in-memory log. Targets respond to probes and grants immediately.
 class Fixture {
  public:
-  Fixture() : router_(std::make_unique<Router>(MakeSettings(1), now_)) {
+  explicit Fixture(std::vector<RouterPeer> peers = {})
+      : peers_(std::move(peers)), router_(std::make_unique<Router>(MakeSettings(1), now_)) {
     std::string text = kConfig;
     const std::string hash = HashSecret("a0b1c2d3e4f5a6b7", kSecret);
     text.replace(text.find("HASH"), 4, hash);
@@ -67,7 +71,7 @@
     for (const LogRequest& request : work.log) ServeLog(request);
     for (const ProbeTarget& probe : work.probes) {
       HealthReport health;
-      health.reachable = true;
+      health.reachable = targets_reachable_;
       health.boot = 1;
       router_->OnHealth(now_, probe.target, health);
     }
@@ -89,15 +93,43 @@
     return WaitForSend(router_->OnRequest(now_, in, handle_));
   }
 
+  /// Sends a request that the other data centre gets, because the targets of this one are down.
+  ForwardRequest StartForward(const std::string& request_id) {
+    const DataCentreLoad load{.data_centre = kThere,
+                              .round_trip_us = 2'000,
+                              .services = {{ServiceId::FromName("suchi"), 8, 0, 0}}};
+    router_->OnMessage(now_, kOther, Incarnation{1}, load);
+    targets_reachable_ = false;
+    for (const char* target : {"suchi-1", "suchi-2"}) {
+      router_->OnHealth(now_, TargetId::FromName(target), HealthReport{});
+    }
+    StartRequest(request_id, "/suchi/a");
+    for (int i = 0; i < 10; ++i) {
+      for (const Envelope& envelope : router_->TakeEnvelopes()) {
+        const auto* forward = std::get_if<ForwardRequest>(&envelope.message);
+        if (forward == nullptr) continue;
+        targets_reachable_ = true;
+        return *forward;
+      }
+      Advance(kTick);
+    }
+    FAIL("the request was not forwarded");
+    return {};
+  }
+
   /// Sends a request for a key and returns its first step other than `WaitForStep`.
   Step FirstOutcome(const std::string& request_id, const std::string& uri = "/khata/a") {
+    const Step step = StartRequest(request_id, uri);
+    return std::holds_alternative<WaitForStep>(step) ? NextStep() : step;
+  }
+
+  Step StartRequest(const std::string& request_id, const std::string& uri) {
     IncomingRequest in;
     in.request_id = request_id;
     in.request.method = "GET";
     in.request.uri = uri;
     in.request.fields = {{"Authorization", std::string("Bearer ") + kSecret}};
-    const Step step = router_->OnRequest(now_, in, handle_);
-    return std::holds_alternative<WaitForStep>(step) ? NextStep() : step;
+    return router_->OnRequest(now_, in, handle_);
   }
 
   SendToTarget WaitForSend(Step step) {
@@ -145,8 +177,9 @@
   TimePoint now() const { return now_; }
 
  private:
-  static RouterSettings MakeSettings(std::uint64_t incarnation) {
+  RouterSettings MakeSettings(std::uint64_t incarnation) const {
     RouterSettings settings;
+    settings.peers = peers_;
     settings.instance = "howrah-1";
     settings.data_centre = "howrah";
     settings.self = InstanceId::FromName("howrah-1");
@@ -168,9 +201,11 @@
   TimePoint now_{kSecond};
   MemoryLogService log_;
   std::uint64_t incarnation_ = 1;
+  std::vector<RouterPeer> peers_;
   std::unique_ptr<Router> router_;
   RequestHandle handle_ = 0;
   int requests_ = 0;
+  bool targets_reachable_ = true;
 };
 
 }  // namespace
@@ -281,4 +316,20 @@
   CHECK(reply.answer.status == 503);
 }
 
+// Guards against a caller that gets the answer to the request of another one.
+TEST_CASE("the answer to a forwarded request of an earlier run does not end another request") {
+  Fixture f({{kOther, kThere}});
+  const ForwardRequest old = f.StartForward("old");
+  f.Restart();
+  f.RunUntil([&] { return f.Ready(); });
+  const ForwardRequest current = f.StartForward("new");
+  const Answer answer{200, {}, ""};
+  f.router().OnMessage(f.now(), kOther, Incarnation{1},
+                       ForwardAnswer{old.forward_id, RunState::kYes, answer});
+  CHECK(f.router().TakeReady().empty());
+  f.router().OnMessage(f.now(), kOther, Incarnation{1},
+                       ForwardAnswer{current.forward_id, RunState::kYes, answer});
+  CHECK(f.router().TakeReady().size() == 1);
+}
+
 }  // namespace dogwoodport
