--- a/packages/core/include/dogwoodport/core/router.h
+++ b/packages/core/include/dogwoodport/core/router.h
@@ -193,10 +193,10 @@
   Step OnAttempt(TimePoint now, RequestHandle handle, std::uint32_t attempt,
                  AttemptOutcome outcome);
 
-  /// Handles the disconnection of the caller of a request. Returns whether the request has been
-  /// dropped or is unknown. Orders are never dropped; a running attempt is only marked for
-  /// cancellation.
-  bool OnCallerLeft(TimePoint now, RequestHandle handle);
+  /// Handles the disconnection of the caller of a request. Returns the reply if the request has
+  /// been dropped or is unknown; the caller may still read it. Orders are never dropped; a running
+  /// attempt is only marked for cancellation.
+  std::optional<Reply> OnCallerLeft(TimePoint now, RequestHandle handle);
 
   void OnMessage(TimePoint now, InstanceId from, Incarnation incarnation, Message message);
 
--- a/packages/core/src/router.cc
+++ b/packages/core/src/router.cc
@@ -137,18 +137,21 @@
     return step;
   }
 
-  bool OnCallerLeft(TimePoint now, RequestHandle handle) {
+  std::optional<Reply> OnCallerLeft(TimePoint now, RequestHandle handle) {
     Pending* p = Find(handle);
-    if (p == nullptr) return true;
-    if (p->order) return false;
+    TargetFailed left{AttemptFault::kCallerLeft, RunState::kUnknown, false, "the caller has left"};
+    if (p == nullptr) return ReplyTo({}, left);
+    if (p->order) return std::nullopt;
     if (p->forwarded_to) outbox_.Send(*p->forwarded_to, ForwardCancel{handle});
     if (p->admitting) systems_.limits.Cancel(now, p->account, handle);
     if (p->attempt_running) {
       work_.cancelled.push_back(handle);
-      return false;
+      return std::nullopt;
     }
+    if (!p->forwarded_to) left.run = p->lost_attempt ? p->lost_attempt->run : RunState::kNo;
+    Reply reply = ReplyTo(p->request_id, left);
     pending_.erase(handle);
-    return true;
+    return reply;
   }
 
   void OnMessage(TimePoint now, InstanceId from, Message message) {
@@ -538,10 +541,10 @@
 
   Step OnFailed(TimePoint now, Pending& p, const TargetFailed& failed) {
     ReportFailure(now, p, failed);
-    if (failed.fault == AttemptFault::kCallerLeft) return End(p, Reply{});
     if (p.order) return OnOrderFailed(now, p, failed);
     const bool is_known_run = p.lost_attempt && p.lost_attempt->run == RunState::kYes;
     if (failed.run != RunState::kNo && !is_known_run) p.lost_attempt = failed;
+    if (failed.fault == AttemptFault::kCallerLeft) return EndFailed(p, failed);
     if (failed.run == RunState::kNo && ++p.unsent_attempts <= kMaxUnsentAttempts) {
       if (failed.fault != AttemptFault::kConnectFailed || p.match.service->keyed) {
         // Either the owner or the permit is about to change, or the key has no other target.
@@ -557,13 +560,13 @@
 
   Step EndFailed(Pending& p, const TargetFailed& failed) {
     ++counters_.refused;
-    return End(p, ReplyTo(p, failed));
+    return End(p, ReplyTo(p.request_id, failed));
   }
 
-  static Reply ReplyTo(const Pending& p, const TargetFailed& failed) {
+  static Reply ReplyTo(const std::string& request_id, const TargetFailed& failed) {
     const Duration retry_after = failed.run == RunState::kNo ? kRetryAfter : Duration(0);
     const auto reply = [&](std::uint16_t status, const char* code) {
-      return MakeRefusal(status, code, failed.text, failed.run, p.request_id, retry_after);
+      return MakeRefusal(status, code, failed.text, failed.run, request_id, retry_after);
     };
     switch (failed.fault) {
       case AttemptFault::kTimeout:
@@ -572,6 +575,8 @@
         return reply(502, "broken_answer");
       case AttemptFault::kConnectionLost:
         return reply(502, "connection_lost");
+      case AttemptFault::kCallerLeft:
+        return reply(400, "caller_left");
       default:
         return reply(503, "target_unreachable");
     }
@@ -948,7 +953,9 @@
   /// Ends a request. If it was forwarded by another instance, the response is sent there.
   Step End(Pending& p, Reply reply) {
     // A refusal of the last attempt says nothing about an earlier one.
-    if (reply.run == RunState::kNo && p.lost_attempt) reply = ReplyTo(p, *p.lost_attempt);
+    if (reply.run == RunState::kNo && p.lost_attempt) {
+      reply = ReplyTo(p.request_id, *p.lost_attempt);
+    }
     // An order that was allowed but not sent must not remain in flight.
     if (p.order && p.order_begun && !p.sent) {
       LocalOrders().OnNotSent(p.arrived, p.handle, outbox_);
@@ -1024,7 +1031,7 @@
                        AttemptOutcome outcome) {
   return impl_->OnAttempt(now, handle, attempt, std::move(outcome));
 }
-bool Router::OnCallerLeft(TimePoint now, RequestHandle handle) {
+std::optional<Reply> Router::OnCallerLeft(TimePoint now, RequestHandle handle) {
   return impl_->OnCallerLeft(now, handle);
 }
 void Router::OnMessage(TimePoint now, InstanceId from, Incarnation /*incarnation*/,
--- a/packages/daemon/src/server.cc
+++ b/packages/daemon/src/server.cc
@@ -300,7 +300,7 @@
       }
       if (!watch_caller || waiter.step || !detail::PeerHasLeft(caller_fd)) continue;
       // An order continues even if its caller disconnects.
-      if (router_.OnCallerLeft(Now(), handle)) return Finish{};
+      if (auto reply = router_.OnCallerLeft(Now(), handle)) return Finish{std::move(*reply)};
       watch_caller = false;
     }
     Step step = std::move(*waiter.step);
--- a/tests/core/unit-router.cpp
+++ b/tests/core/unit-router.cpp
@@ -332,4 +332,25 @@
   CHECK(f.router().TakeReady().size() == 1);
 }
 
+// Guards against a caller that has only finished sending, still reads, and is told "not run".
+TEST_CASE("the reply to a caller that left tells whether the request may have run") {
+  Fixture f({{kOther, kThere}});
+  const auto run = GENERATE(RunState::kNo, RunState::kUnknown);
+  CAPTURE(ToString(run));
+  SECTION("during an attempt") {
+    const auto send = std::get<SendToTarget>(f.FirstOutcome("r", "/suchi/a"));
+    const TargetFailed left{AttemptFault::kCallerLeft, run, false, "the caller has left"};
+    const Reply reply = std::get<Finish>(f.EndAttempt(send, left)).reply;
+    CHECK(reply.run == run);
+    CHECK(reply.answer.status == 400);
+  }
+  SECTION("while another instance has the request") {
+    const ForwardRequest forward = f.StartForward("r");
+    const auto reply = f.router().OnCallerLeft(f.now(), forward.forward_id);
+    REQUIRE(reply);
+    CHECK(reply->run == RunState::kUnknown);
+    CHECK(reply->answer.status == 400);
+  }
+}
+
 }  // namespace dogwoodport
