--- a/packages/net/src/connection_pool.cc
+++ b/packages/net/src/connection_pool.cc
@@ -38,7 +38,7 @@
       return !connection->MayRepeatResponseTo(call_id);
     });
     if (it == idle.rend()) return nullptr;
-    const ClientConnectionPtr connection = *it;
+    ClientConnectionPtr connection = *it;
     idle.erase(std::next(it).base());
     if (IsReusable(*connection)) return connection;
     connection->Abort();
@@ -48,7 +48,7 @@
 
 ClientConnectionPtr ConnectionPool::Acquire(const std::string& address, std::string_view call_id,
                                             std::size_t max_count) {
-  if (const ClientConnectionPtr connection = TakeIdle(address, call_id)) return connection;
+  if (ClientConnectionPtr connection = TakeIdle(address, call_id)) return connection;
   const auto bucket = buckets_.find(address);
   if (bucket != buckets_.end() && bucket->second.count >= max_count &&
       !bucket->second.idle.empty()) {
